Keep a sparse customer's store in its name and pace the calls by the counter's delay

The counter serves about 300 calls a second there, one part 10 ms a call; the fleet asked for more, 30% got no answer in time, and the AIMD on the share that asks ran down to a sixth. The rest was refused for want of a block with 18 ms of advice, came back at once (2.2 tries a request) and asked again. At the same time each gateway gave each new customer a free random block of half a large request: over 60 gateways 15 bursts.

At fault: ask, answered and customer in logic.go. Fix (logic/sparse.go): a name keeps the store for an epoch of 50 s; who finds it run over, fresh, or empty puts it right by a second call off the path, so a total shows the store exactly. The share that asks narrows as soon as the delay grows, adds for those that do not ask, and falls off for repeats. Where the share of the rate fills a request in time the own block is spent first. The random part of a block is spent only unasked. A refusal says when the store may hold the units. The module learns which tries are repeats. A late answer narrows the window only where the server reports a queue.

--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -512,6 +512,8 @@
 		case "d":
 			d, err = strconv.ParseUint(v, 10, 31)
 			r.dFrom, r.dTo = from+2, from+len(part)
+		case "r":
+			r.Again = v == "1"
 		case "k":
 			key = v
 		case "units":
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -164,7 +164,8 @@
 	p.need("call", "giveUpAtUs")
 	return logic.Arrival{Request: logic.Request{ID: p.id(), Class: p.f["qos"], Plan: p.f["terms"],
 		Customer: p.f["holder"], GiveUpAt: p.micros("giveUpAtUs"), Units: p.float("sizeUnits"),
-		Spread: p.int("width"), First: p.int("setFrom")}}
+		Spread: p.int("width"), First: p.int("setFrom"),
+		Again: p.bool("againByClient")}}
 }
 
 // fleet parses a list and the entry lines that follow it.
--- a/logic/api.go
+++ b/logic/api.go
@@ -104,8 +104,9 @@
 	Customer string
 	GiveUpAt time.Duration
 	Units    float64
-	Spread   int // gateways this customer comes through
-	First    int // number of the first of them
+	Spread   int  // gateways this customer comes through
+	First    int  // number of the first of them
+	Again    bool // a client's repeat, where clients mark these
 }
 
 // Load is what a server last said of itself; absent values are not in it.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -100,6 +100,7 @@
 	arrived           time.Duration
 	rank              float64 // worth, as queued
 	lease             string  // name that the counter was asked for
+	adds              float64 // units that it was asked for
 	beyond            bool    // sent on beyond the quota
 	charged, granted  bool    // its units came from the block; from the counter, within the ceiling
 	held, sent, final bool    // in the queue; first attempt has gone; answered for good
@@ -261,6 +262,7 @@
 	plan                      *Plan
 	spread, place             int           // gateways that it comes through; our place among them
 	offset                    time.Duration // spreads the customers' window ends
+	presumed                  float64       // a sparse one's: what its block may hold besides
 	block, owed               float64       // leased units, ours to spend; to add at the next call
 	level                     float64       // the store at the last look, less all leases that we know of
 	at, looked                time.Duration // of the level; when the counter last answered, 0 never
@@ -290,8 +292,7 @@
 		c.owed = c.block
 		c.level = max(0, g.set.MaxUnits-c.block, 1-c.block) // one request more before the first look
 		if c.sparse {
-			c.silent, c.span = true, time.Duration(c.plan.Burst/c.plan.Rate*float64(time.Second))
-			c.block += g.rng.Float64() * max(1, g.set.MaxUnits)
+			g.openSparse(c)
 		}
 		g.customers[r.Customer] = c
 		g.roster = append(g.roster, c)
@@ -307,7 +308,7 @@
 	c.demand *= math.Exp(-dt)
 	if c.silent { // no totals come: live on the fair share of the rate
 		most := max(c.plan.Burst/float64(c.spread), g.set.MaxUnits, 1)
-		c.borrow(min(c.plan.Rate/float64(c.spread)*dt, max(0, most-c.block)))
+		c.borrow(min(g.fills(c)*dt, max(0, most-c.block)))
 	}
 }
 
@@ -336,58 +337,6 @@
 	return (g.room(c) - c.others*(g.now-c.looked).Seconds()) * c.demand / (c.demand + c.others)
 }
 
-// ask leases one request's units as it comes, for a customer that each gateway sees too seldom to know its
-// store. The name's window is burst over rate long and grants the burst: refused tries need no giving back.
-// Where not all calls get through, the fair share of the rate decides.
-func (g *Gateway) ask(r *request) {
-	c := r.cust
-	switch {
-	case !c.sparse:
-		g.settle(r, g.admit(r))
-	case g.now < c.spent || c.plan.ExcessWorth > c.plan.ExcessCost && g.rng.Float64() > 2*g.askShare-1:
-		g.settle(r, false)
-	case g.rng.Float64() > g.askShare && (c.plan.CeilingRate <= 0 || g.askShare < counterLost):
-		g.settle(r, g.admit(r))
-	default:
-		c.epoch = int64((g.now + c.offset) / c.span)
-		r.lease = c.name()
-		c.asked = append(c.asked, r)
-		g.do(Count{Name: r.lease, Add: r.Units, Keep: min(2*c.span, nameKept)})
-	}
-}
-
-// answered settles the request that asked first for the name.
-func (g *Gateway) answered(c *customer, ev CountReply) {
-	i := slices.IndexFunc(c.asked, func(r *request) bool { return r.lease == ev.Name })
-	if i < 0 {
-		return
-	}
-	r := c.asked[i]
-	if c.asked = slices.Delete(c.asked, i, i+1); r.final {
-		return
-	}
-	if ev.Outcome != Done {
-		if ev.Outcome != Failed { // AIMD: a call that waits too long is work for nothing
-			g.askShare = max(leastAsked, g.askShare*0.7)
-		}
-		g.settle(r, g.admit(r))
-		return
-	}
-	g.askShare = min(1, g.askShare+0.01/g.askShare)
-	grant := c.plan.Burst
-	if c.plan.CeilingRate > 0 { // the ends of two windows may meet in one moment
-		grant = min(grant, c.plan.CeilingBurst/2)
-	}
-	inside := ev.Total <= max(grant, r.Units)
-	r.granted = inside && g.askShare >= counterLost
-	if inside {
-		c.block = max(0, c.block-r.Units)
-	} else if r.lease == c.name() && ev.Total > grant+r.Units {
-		c.spent = time.Duration(c.epoch+1)*c.span - c.offset
-	}
-	g.settle(r, inside)
-}
-
 // admit takes the request's units from the block, or on credit from room that the last total showed.
 func (g *Gateway) admit(r *request) bool {
 	c := r.cust
@@ -510,9 +459,12 @@
 // untilRoom is the retry-after of a refusal: when the store will hold the units.
 func (g *Gateway) untilRoom(r *request) time.Duration {
 	c := r.cust
-	if c.sparse {
+	if c.sparse && c.spent > g.now {
 		return max(c.spent-g.now, g.sweep)
 	}
+	if c.sparse { // unknown: by then the rate has filled in what it wants
+		return time.Duration(r.Units / c.plan.Rate * float64(time.Second))
+	}
 	missing := max(r.Units-max(0, g.room(c))-max(0, c.block), 1)
 	return time.Duration(missing / max(c.plan.Rate, 0.01) * float64(time.Second))
 }
@@ -611,10 +563,12 @@
 
 // --- window ---
 
-// judge counts an attempt's end towards the window.
-func (g *Gateway) judge(a *attempt, c *class, o Outcome, took time.Duration) {
+// judge counts an attempt's end towards the window. A late answer of a server that says that nothing waits there was
+// long work or comes from a slow machine: no sign that the back end is full.
+func (g *Gateway) judge(a *attempt, c *class, o Outcome, took time.Duration, load Load) {
+	waiting, told := load["queue"]
 	switch {
-	case o == Full || o == TimedOut || o == Done && took > c.Aim/3:
+	case o == Full || o == TimedOut || o == Done && took > c.Aim/3 && (waiting >= 1 || !told):
 		g.bad++
 		c.bad++
 		if a.s.badRound != g.roundNo {
@@ -787,7 +741,7 @@
 		if !a.ended && !a.lost && g.now-a.sent > r.class.Aim {
 			a.lost = true
 			g.busy--
-			g.judge(a, r.class, TimedOut, 0)
+			g.judge(a, r.class, TimedOut, 0, nil)
 		}
 	}
 	if !g.set.SecondCopies || r.outs != 1 || g.retries < 1 || g.now > r.arrived+r.class.Aim || r.beyond ||
@@ -814,7 +768,7 @@
 	r.outs, r.cust.open = r.outs-1, r.cust.open-1
 	if !a.lost {
 		g.busy--
-		g.judge(a, r.class, ev.Outcome, ev.Took)
+		g.judge(a, r.class, ev.Outcome, ev.Took, ev.Load)
 	}
 	g.observe(a, r.class, ev.Outcome, ev.Took)
 	switch {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -163,9 +163,11 @@
 			r := newRig(t, set, Server{ID: "s", State: Running})
 			acts := r.tell(Arrival{Request{ID: 1, Class: "read", Plan: "tiny", Customer: "c", Units: 1,
 				GiveUpAt: r.now + time.Second, Spread: n}})
-			for _, c := range only[Count](acts) {
-				totals[c.Name] += c.Add
-				acts = append(acts, r.tell(CountReply{Name: c.Name, Outcome: Done, Total: totals[c.Name]})...)
+			for k := 0; k < len(acts); k++ {
+				if c, ok := acts[k].(Count); ok {
+					totals[c.Name] += c.Add
+					acts = append(acts, r.tell(CountReply{Name: c.Name, Outcome: Done, Total: totals[c.Name]})...)
+				}
 			}
 			sent += len(only[Send](acts))
 		}
--- a/logic/many_test.go
+++ b/logic/many_test.go
@@ -206,7 +206,7 @@
 	}
 	r := newRig(t, set, fleet...)
 	for i := range 12 {
-		r.g.judge(&attempt{s: r.g.fleet[i]}, r.g.classes["read"], TimedOut, 0)
+		r.g.judge(&attempt{s: r.g.fleet[i]}, r.g.classes["read"], TimedOut, 0, nil)
 		r.pass(time.Second)
 	}
 	if r.g.window >= 1 {
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -261,14 +261,14 @@
 	before := r.g.window
 	c := r.g.classes["read"]
 	for range 50 {
-		r.g.judge(&attempt{s: r.g.fleet[0]}, c, TimedOut, 0)
+		r.g.judge(&attempt{s: r.g.fleet[0]}, c, TimedOut, 0, nil)
 	}
 	r.pass(100 * ms)
 	if r.g.window < before {
 		t.Fatal("narrowed by one server")
 	}
 	for i := range 50 {
-		r.g.judge(&attempt{s: r.g.fleet[i%12]}, c, TimedOut, 0)
+		r.g.judge(&attempt{s: r.g.fleet[i%12]}, c, TimedOut, 0, nil)
 	}
 	r.pass(2 * time.Second)
 	if r.g.window >= before {
@@ -282,8 +282,8 @@
 	before := r.g.window
 	for i := range 40 {
 		s := r.g.fleet[i%2]
-		r.g.judge(&attempt{s: s}, r.g.classes["book"], Done, 400*ms)
-		r.g.judge(&attempt{s: s}, r.g.classes["read"], Done, 20*ms)
+		r.g.judge(&attempt{s: s}, r.g.classes["book"], Done, 400*ms, nil)
+		r.g.judge(&attempt{s: s}, r.g.classes["read"], Done, 20*ms, nil)
 	}
 	r.pass(2 * time.Second)
 	if r.g.window < before {
--- /dev/null
+++ b/logic/sparse_test.go
@@ -0,0 +1,102 @@
+package logic
+
+import (
+	"testing"
+	"time"
+)
+
+// fleetSettings are those of one gateway of a large fleet: a customer comes through all of it.
+func fleetSettings() Settings {
+	set := settings()
+	set.Gateways, set.MaxUnits = 60, 4
+	set.Plans = append(set.Plans,
+		Plan{Name: "thin", Price: 1, Rate: 0.8, Burst: 8, ExcessCost: 1.2},
+		Plan{Name: "thick", Price: 1, Rate: 14, Burst: 25, ExcessCost: 1.2})
+	return set
+}
+
+// sparse tells a fresh gateway of one request of a plan, and returns it with the call that it makes.
+func sparse(t *testing.T, plan string) (*rig, Count) {
+	t.Helper()
+	r := newRig(t, fleetSettings(), Server{ID: "s", State: Running})
+	c := r.g.customer(&request{Request: Request{Customer: "c", Spread: 60}, plan: r.g.plans[plan]})
+	r.now += c.span - (r.now+c.offset)%c.span + 30*time.Second // well into a window of its name
+	c.refreshed = r.now // nothing has filled in
+	calls := only[Count](r.tell(Arrival{Request{ID: 1, Class: "read", Plan: plan, Customer: "c", Units: 2,
+		GiveUpAt: r.now + 2*time.Second, Spread: 60}}))
+	if len(calls) != 1 {
+		t.Fatalf("%d calls for a request of plan %s, want one", len(calls), plan)
+	}
+	return r, calls[0]
+}
+
+// The name of a sparse customer holds its whole store; who finds it wrong puts it right with a second call.
+func TestStoreOfASparseCustomerIsKeptByItsName(t *testing.T) {
+	const add = 2.0
+	for _, c := range []struct {
+		name   string
+		used   func(filled float64) float64 // what the name holds before the request's own add
+		sent   bool
+		amends func(filled float64) float64
+	}{
+		{"first of the window", func(float64) float64 { return 0 }, true, func(f float64) float64 { return f }},
+		{"half full", func(f float64) float64 { return f + 4 }, true, func(float64) float64 { return 0 }},
+		{"run over a little", func(f float64) float64 { return f - 3 }, true, func(float64) float64 { return 0 }},
+		{"run over by much", func(f float64) float64 { return f - 6 }, true, func(float64) float64 { return 6 }},
+		{"empty", func(f float64) float64 { return f + 7 }, false, func(float64) float64 { return -add }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r, call := sparse(t, "thin")
+			cust := r.g.customers["c"]
+			filled := 0.8 * ((r.now + cust.offset) % cust.span).Seconds()
+			acts := r.tell(CountReply{Name: call.Name, Outcome: Done, Total: c.used(filled) + add})
+			if sent := len(only[Send](acts)) == 1; sent != c.sent {
+				t.Errorf("sent %v, want %v", sent, c.sent)
+			}
+			got := 0.0
+			for _, k := range only[Count](acts) {
+				got += k.Add
+			}
+			if want := c.amends(filled); got < want-0.01 || got > want+0.01 {
+				t.Errorf("amended by %v, want %v", got, want)
+			}
+		})
+	}
+}
+
+// A refused gateway leaves the counter alone for a while, and says when to come back.
+func TestRefusedSparseCustomerIsNotAskedForAtOnce(t *testing.T) {
+	r, call := sparse(t, "thick")
+	refusals := only[Refuse](r.tell(CountReply{Name: call.Name, Outcome: Done, Total: 1000}))
+	if len(refusals) != 1 || refusals[0].RetryAfter < 500*ms {
+		t.Fatalf("refusals %v, want one with advice", refusals)
+	}
+	acts := r.tell(Arrival{Request{ID: 2, Class: "read", Plan: "thick", Customer: "c", Units: 2,
+		GiveUpAt: r.now + 2*time.Second, Spread: 60}})
+	if n := len(only[Count](acts)); n != 0 || len(only[Refuse](acts)) != 1 {
+		t.Errorf("%d calls for the next request, want a refusal without", n)
+	}
+}
+
+// The counter is shared by all: a growing delay makes each ask less, long before calls are lost.
+func TestPaceFollowsTheCountersDelay(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		o          Outcome
+		took       time.Duration
+		less, more bool
+	}{
+		{"lost", TimedOut, 50 * ms, true, false},
+		{"turned away", Full, ms, true, false},
+		{"slow", Done, 30 * ms, true, false},
+		{"quick", Done, 5 * ms, false, true},
+		{"spoilt", Failed, 5 * ms, false, false},
+	} {
+		r := newRig(t, fleetSettings(), Server{ID: "s", State: Running})
+		r.g.askShare = 0.5
+		r.g.pace(c.o, c.took)
+		if got := r.g.askShare; got < 0.5 != c.less || got > 0.5 != c.more {
+			t.Errorf("%s: share %v after 0.5", c.name, got)
+		}
+	}
+}
