--- a/logic/sparse_test.go
+++ b/logic/sparse_test.go
@@ -21,7 +21,7 @@
 	r := newRig(t, fleetSettings(), Server{ID: "s", State: Running})
 	c := r.g.customer(&request{Request: Request{Customer: "c", Spread: 60}, plan: r.g.plans[plan]})
 	r.now += c.span - (r.now+c.offset)%c.span + 30*time.Second // well into a window of its name
-	c.refreshed = r.now // nothing has filled in
+	c.refreshed = r.now                                        // nothing has filled in
 	calls := only[Count](r.tell(Arrival{Request{ID: 1, Class: "read", Plan: plan, Customer: "c", Units: 2,
 		GiveUpAt: r.now + 2*time.Second, Spread: 60}}))
 	if len(calls) != 1 {
