Let cold servers take part in the choices of a thin fleet as far as they are warm

Ruled out: discovery (told in time), the window (holds are short until the old ones choke), refusals by the new ones (none). At fault: choose divides by warmth, so a cold server looks worse than any warm one with nothing out, and of 80 gateways hardly any has something out anywhere; coldRoom takes the fleet's flow per server as if all were warm; a new server starts at the mean slowness, while those that are chosen look better than the mean. Fix: a cold server takes part in as many choices as it is warm, the space between its sends follows the fleet's warm capacity, and it starts at the slowness of those chosen. Tried and taken out: the best of three or eight drawn by warmth.

--- /dev/null
+++ b/logic/choice_test.go
@@ -0,0 +1,47 @@
+package logic
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// Servers that replace others in a large fleet take up work as they warm: no gateway has much out anywhere, and a new
+// server must not look worse than all the warm ones that stand idle.
+func TestColdServersShareTheWorkOfAThinFleet(t *testing.T) {
+	set := fleetSettings()
+	set.ColdShare, set.WarmAfter = 0.3, 18*time.Second
+	sent := map[bool]int{}
+	for me := range 20 {
+		set.Me = me
+		r := newRig(t, set)
+		var fleet []Server
+		for i := range 20 {
+			fleet = append(fleet, Server{ID: ServerID(fmt.Sprintf("old%d", i)), State: Running})
+		}
+		r.tell(FleetChanged{Whole: true, Servers: fleet})
+		cold := map[ServerID]bool{}
+		for step := range 300 { // 30 s
+			if step == 150 {
+				for i := range 20 {
+					id := ServerID(fmt.Sprintf("new%d", i))
+					cold[id] = true
+					fleet = append(fleet, Server{ID: id, State: Running, Started: r.now})
+				}
+				r.tell(FleetChanged{Servers: fleet[20:]})
+			}
+			r.now += 100 * ms
+			for _, s := range only[Send](r.tell(Arrival{Request{ID: RequestID(step + 1), Class: "read", Plan: "free",
+				Customer: "c", Units: 1, GiveUpAt: r.now + time.Second, Spread: 1}})) {
+				if step >= 150 {
+					sent[cold[s.Server]]++
+				}
+				took := 20*ms + time.Duration(r.g.rng.Int64N(int64(80*ms)))
+				r.tell(AttemptEnded{ID: s.ID, Server: s.Server, Outcome: Done, Took: took, Finished: true})
+			}
+		}
+	}
+	if share := float64(sent[true]) / float64(sent[true]+sent[false]); share < 0.1 || share > 0.5 {
+		t.Errorf("the cold half of the fleet took %.2f of the work, want some 0.1 to 0.5", share)
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -74,9 +74,13 @@
 
 	servers map[ServerID]*server
 	fleet   []*server
+	usual   float64 // remembered slowness of the servers that are chosen: where a new one starts
 	flow    float64 // answers a second to this gateway
 	flowAt  time.Duration
 
+	warm       float64 // capacity of the fleet when it was last added up
+	capacityAt time.Duration
+
 	askShare     float64 // share of the sparse customers' requests that the counter is asked for
 	counterFails int
 }
@@ -126,7 +130,7 @@
 	}
 	g := &Gateway{set: set, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)), sweep: time.Second,
 		classes: map[string]*class{}, plans: map[string]*Plan{}, customers: map[string]*customer{},
-		requests: map[RequestID]*request{}, servers: map[ServerID]*server{}, askShare: 1}
+		requests: map[RequestID]*request{}, servers: map[ServerID]*server{}, askShare: 1, usual: 1}
 	for _, c := range set.Classes {
 		if c.Aim <= 0 || c.Deadline < c.Aim {
 			return nil, fmt.Errorf("logic: class %q: aim %v, deadline %v", c.Name, c.Aim, c.Deadline)
@@ -634,7 +638,9 @@
 	return math.Exp2(-(g.now - s.slowAt).Seconds() / half)
 }
 
-// choose picks the server with the least expected wait among those that may take the request.
+// choose picks the server with the least expected wait among those that may take the request. Where many gateways
+// share the fleet nearly all servers have nothing out from here, and a cold one would always look worse than a warm
+// one: it takes part in as many choices as it is warm, and then counts as any other.
 func (g *Gateway) choose(r *request) *server {
 	var best *server
 	bestScore := math.Inf(1)
@@ -643,7 +649,10 @@
 		if anchor != nil && !sameGroup(r.class.Group, anchor.s, s) || !g.coldRoom(s) {
 			continue
 		}
-		score := g.slowness(s) * (1 + float64(len(s.out))) / g.warmth(s) * (1 + 0.1*g.rng.Float64())
+		score := g.slowness(s) * (1 + float64(len(s.out))) * (1 + 0.1*g.rng.Float64())
+		if w := g.warmth(s); w < 1 && g.rng.Float64() >= w {
+			score *= 1 / w // out of this choice, unless the others are as full
+		}
 		if s.Zone != g.set.Zone && g.set.CrossZonePrice > 0 {
 			score *= 1.3
 		}
@@ -728,6 +737,7 @@
 	r.outs, r.cust.open, g.busy = r.outs+1, r.cust.open+1, g.busy+1
 	s.out = append(s.out, a)
 	s.lastSent, g.lastSent, s.phase = g.now, g.now, 1
+	g.usual += slowGain * (s.slow - g.usual)
 	var stop time.Duration
 	if !g.set.SecondCopies && r.class.mean > 0 && r.class.Effect != Unsafe { // ends for another
 		stop = g.now + max(r.class.takes(2*hedgeDevs), r.class.Aim/3)
@@ -838,7 +848,7 @@
 			g.servers[e.ID] = s
 		}
 		if s.slow == 0 || s.Started != e.Started { // new or restarted: only what is still out stays
-			*s = server{out: s.out, slow: 1, slowAt: g.now, badRound: -1, phase: g.rng.Float64()}
+			*s = server{out: s.out, slow: g.usual, slowAt: g.now, badRound: -1, phase: g.rng.Float64()}
 		}
 		s.Server = e
 	}
@@ -851,6 +861,7 @@
 		}
 	}
 	slices.SortFunc(g.fleet, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
+	g.capacityAt = -g.sweep
 	if first {
 		g.window, g.retries = g.part(), g.part()
 	}
@@ -866,6 +877,17 @@
 	return cold + (1-cold)*max(0, age.Seconds())/g.set.WarmAfter.Seconds()
 }
 
+// capacity is that of the fleet, in warm servers.
+func (g *Gateway) capacity() float64 {
+	if g.now >= g.capacityAt+g.sweep {
+		g.capacityAt, g.warm = g.now, 0
+		for _, s := range g.fleet {
+			g.warm += g.warmth(s)
+		}
+	}
+	return max(g.warm, g.set.ColdShare, 0.01)
+}
+
 // coldRoom spaces sends to a cold server by what warm ones answer here, scaled to its warmth, so that the sum
 // over all gateways stays within it; the first comes at a random part of the space.
 func (g *Gateway) coldRoom(s *server) bool {
@@ -873,6 +895,6 @@
 	if w >= 1 {
 		return true
 	}
-	rate := coldRate * w * max(g.flow/float64(len(g.fleet)), startPerHost/float64(g.set.Gateways))
+	rate := coldRate * w * max(g.flow/g.capacity(), startPerHost/float64(g.set.Gateways))
 	return (g.now - max(s.lastSent, s.Started)).Seconds() >= s.phase/rate
 }
