Take a new server to be like any one of the others until it answers

At fault: fleetChanged started a new server at the slowness of those chosen, which is that of the luckiest memory; all 80 gateways prefer it until each has heard from it. Fix: it starts with the remembered slowness of a random other server.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -74,7 +74,6 @@
 
 	servers map[ServerID]*server
 	fleet   []*server
-	usual   float64 // remembered slowness of the servers that are chosen: where a new one starts
 	flow    float64 // answers a second to this gateway
 	flowAt  time.Duration
 
@@ -130,7 +129,7 @@
 	}
 	g := &Gateway{set: set, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)), sweep: time.Second,
 		classes: map[string]*class{}, plans: map[string]*Plan{}, customers: map[string]*customer{},
-		requests: map[RequestID]*request{}, servers: map[ServerID]*server{}, askShare: 1, usual: 1}
+		requests: map[RequestID]*request{}, servers: map[ServerID]*server{}, askShare: 1}
 	for _, c := range set.Classes {
 		if c.Aim <= 0 || c.Deadline < c.Aim {
 			return nil, fmt.Errorf("logic: class %q: aim %v, deadline %v", c.Name, c.Aim, c.Deadline)
@@ -625,13 +624,24 @@
 
 // slowness is the relative latency as remembered, or what the longest wait already shows.
 func (g *Gateway) slowness(s *server) float64 {
-	v := 1 + (s.slow-1)*g.memory(s)
+	v := g.remembered(s)
 	if len(s.out) > 0 && g.lag > 0 {
 		v = max(v, (g.now-s.out[0].sent).Seconds()/(3*g.lag))
 	}
 	return v
 }
 
+func (g *Gateway) remembered(s *server) float64 { return 1 + (s.slow-1)*g.memory(s) }
+
+// likeAny is what a new server starts with: it is taken to be like one of the others, any of them. With the mean it
+// would lose to all that have been lucky, with the best it would get the work of all gateways at once.
+func (g *Gateway) likeAny() float64 {
+	if len(g.fleet) == 0 {
+		return 1
+	}
+	return g.remembered(g.fleet[g.rng.IntN(len(g.fleet))])
+}
+
 // memory is the part left of what was learned: half goes in some aims, or between two answers of a server.
 func (g *Gateway) memory(s *server) float64 {
 	half := max(forgetAims*g.longAim.Seconds(), float64(len(g.fleet))/max(g.flow, 1e-3))
@@ -737,7 +747,6 @@
 	r.outs, r.cust.open, g.busy = r.outs+1, r.cust.open+1, g.busy+1
 	s.out = append(s.out, a)
 	s.lastSent, g.lastSent, s.phase = g.now, g.now, 1
-	g.usual += slowGain * (s.slow - g.usual)
 	var stop time.Duration
 	if !g.set.SecondCopies && r.class.mean > 0 && r.class.Effect != Unsafe { // ends for another
 		stop = g.now + max(r.class.takes(2*hedgeDevs), r.class.Aim/3)
@@ -848,7 +857,7 @@
 			g.servers[e.ID] = s
 		}
 		if s.slow == 0 || s.Started != e.Started { // new or restarted: only what is still out stays
-			*s = server{out: s.out, slow: g.usual, slowAt: g.now, badRound: -1, phase: g.rng.Float64()}
+			*s = server{out: s.out, slow: g.likeAny(), slowAt: g.now, badRound: -1, phase: g.rng.Float64()}
 		}
 		s.Server = e
 	}
