Spread a large fleet's calls of discovery and ask for changes only

Each lists and watches as it starts; 160 calls at one moment, every watch is reset after 0.1 s, then each tries again from 0.1 s to 2 s on. Calls are turned away at once, or end after 2.0 s in line: a storm that feeds itself. A probe without the list and with 2 to 16 s pauses had 184 calls served, 70 to 90 ms each: discovery serves about a dozen a second. At fault: follow in discovery.go, which lists what the ingress has, and firstPause and longestPause, which know nothing of the fleet's size. Fix: where the settings say that discovery is asked and the fleet is large, the known list stands, only a watch is asked for, after a random part of 50 ms for each ingress, and the pauses grow with that time. Told or small fleets ask as before.

--- a/internal/ingress/discovery.go
+++ b/internal/ingress/discovery.go
@@ -25,6 +25,12 @@
 	firstPause   = 100 * time.Millisecond // before the list is asked for again; doubled each time
 	longestPause = 2 * time.Second
 	maxList      = 1 << 20
+
+	// Where discovery is asked, all ingresses share one service of a fixed capacity, and calls that have waited for
+	// long fail: a fleet that starts, or loses its watches, at one moment must not ask at one moment.
+	askSpread    = 50 * time.Millisecond // for each ingress of the fleet: the time over which all of them ask
+	fewIngresses = 8                     // so few may ask at one moment
+	spreadsLeft  = 4                     // times that, the longest pause grows to
 )
 
 // Fleet is discovery's list of backends, or the entries of it that changed.
@@ -65,12 +71,13 @@
 	client *http.Client
 	moves  latest
 	post   func(event)
+	spread time.Duration // over which the fleet's calls are spread; 0 where the agent has what there is to tell
 	first  chan struct{} // closed after the first list, or when that failed
 	log    *slog.Logger
 }
 
-func newDiscovery(addr string, rev int64, post func(event), log *slog.Logger) *discovery {
-	return &discovery{url: listURL(addr), rev: rev, moves: newLatest(), post: post, log: log,
+func newDiscovery(addr string, rev int64, spread time.Duration, post func(event), log *slog.Logger) *discovery {
+	return &discovery{url: listURL(addr), rev: rev, spread: spread, moves: newLatest(), post: post, log: log,
 		client: &http.Client{Transport: &http.Transport{DisableCompression: true}}, first: make(chan struct{})}
 }
 
@@ -85,7 +92,8 @@
 		left := make(chan struct{})
 		go func() {
 			defer close(left)
-			d.follow(here, first)
+			d.begin(here, first)
+			d.follow(here)
 		}()
 		select {
 		case <-ctx.Done():
@@ -101,13 +109,28 @@
 	}
 }
 
-// follow lists, then watches, at one address. Whatever breaks the watch, it resumes from the version held.
-func (d *discovery) follow(ctx context.Context, listed func()) {
+// begin brings a list to start from. Where asking is dear the one that the ingress has will do until the watch brings
+// what has changed since; the watches of a fleet that starts begin spread out.
+func (d *discovery) begin(ctx context.Context, listed func()) {
+	if d.spread > 0 {
+		select {
+		case <-d.first: // not a start, but a move
+		default:
+			listed()
+			wait(ctx, rand.N(d.spread))
+		}
+		return
+	}
 	if err := d.list(ctx); err != nil && ctx.Err() == nil {
 		d.log.Warn("discovery: no list yet", "err", err)
 	}
 	listed()
-	for pause := firstPause; ctx.Err() == nil; pause = min(2*pause, longestPause) {
+}
+
+// follow watches at one address. Whatever breaks the watch, it resumes from the version held.
+func (d *discovery) follow(ctx context.Context) {
+	first, longest := max(firstPause, d.spread/2), max(longestPause, spreadsLeft*d.spread)
+	for pause := first; ctx.Err() == nil; pause = min(2*pause, longest) {
 		began := time.Now()
 		err := d.watch(ctx)
 		if ctx.Err() != nil {
@@ -115,12 +138,17 @@
 		}
 		d.log.Warn("discovery: the watch ended", "err", err)
 		if time.Since(began) > watchSilence {
-			pause = firstPause
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause/2 + rand.N(pause)):
+			pause = first
 		}
+		wait(ctx, pause/2+rand.N(pause))
+	}
+}
+
+// wait returns after a while, or when ctx ends.
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
 	}
 }
 
--- a/internal/ingress/gateway.go
+++ b/internal/ingress/gateway.go
@@ -132,7 +132,11 @@
 		g.plans[p.Name] = true
 	}
 	g.counter = newCounter(cfg.Counter, cfg.Settings.CounterTimeout, g.post)
-	g.disc = newDiscovery(cfg.Discovery, cfg.Known.Rev, g.post, log)
+	spread := time.Duration(0)
+	if cfg.Settings.AskForFleet && cfg.Settings.Gateways > fewIngresses && len(cfg.Known.Targets) > 0 {
+		spread = askSpread * time.Duration(cfg.Settings.Gateways)
+	}
+	g.disc = newDiscovery(cfg.Discovery, cfg.Known.Rev, spread, g.post, log)
 	return g, nil
 }
 
@@ -199,7 +203,8 @@
 	g.spawn(f.tidy)
 	g.addr = ln.Addr()
 	close(g.ready)
-	g.log.Info("serving", "listen", g.cfg.Listen)
+	g.log.Info("serving", "listen", g.cfg.Listen, "ingresses", g.cfg.Settings.Gateways,
+		"backends", len(g.cfg.Known.Targets), "asks discovery", g.cfg.Settings.AskForFleet)
 
 	<-ctx.Done()
 	g.log.Info("shutting down")
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -541,7 +541,7 @@
 	}))
 	defer s.Close()
 	events := make(chan event, 64)
-	d := newDiscovery(strings.TrimPrefix(s.URL, "http://"), 1, func(e event) { events <- e }, quiet)
+	d := newDiscovery(strings.TrimPrefix(s.URL, "http://"), 1, 0, func(e event) { events <- e }, quiet)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -1068,7 +1068,7 @@
 // What discovery says is believed only where it can be: an older list would revive what is gone.
 func TestOddLists(t *testing.T) {
 	var told []Fleet
-	d := newDiscovery("127.0.0.1:1", 7, func(e event) { told = append(told, e.(Fleet)) }, quiet)
+	d := newDiscovery("127.0.0.1:1", 7, 0, func(e event) { told = append(told, e.(Fleet)) }, quiet)
 	for _, c := range []struct {
 		in    string
 		ok    bool
