--- a/logic/logic.go
+++ b/logic/logic.go
@@ -566,8 +566,8 @@
 
 // --- window ---
 
-// judge counts an attempt's end towards the window. A late answer of a server that says that nothing waits there was
-// long work or comes from a slow machine: no sign that the back end is full.
+// judge counts an attempt's end towards the window. A late answer of a server that says that nothing waits
+// there was long work or comes from a slow machine: no sign that the back end is full.
 func (g *Gateway) judge(a *attempt, c *class, o Outcome, took time.Duration, load Load) {
 	waiting, told := load["queue"]
 	switch {
@@ -633,8 +633,9 @@
 
 func (g *Gateway) remembered(s *server) float64 { return 1 + (s.slow-1)*g.memory(s) }
 
-// likeAny is what a new server starts with: it is taken to be like one of the others, any of them. With the mean it
-// would lose to all that have been lucky, with the best it would get the work of all gateways at once.
+// likeAny is what a new server starts with: it is taken to be like one of the others, any of them. With the
+// mean it would lose to all that have been lucky, with the best it would get the work of all gateways at
+// once.
 func (g *Gateway) likeAny() float64 {
 	if len(g.fleet) == 0 {
 		return 1
@@ -648,9 +649,9 @@
 	return math.Exp2(-(g.now - s.slowAt).Seconds() / half)
 }
 
-// choose picks the server with the least expected wait among those that may take the request. Where many gateways
-// share the fleet nearly all servers have nothing out from here, and a cold one would always look worse than a warm
-// one: it takes part in as many choices as it is warm, and then counts as any other.
+// choose picks the server with the least expected wait among those that may take the request. Where many
+// gateways share the fleet nearly all servers have nothing out from here, and a cold one would always look
+// worse than a warm one: it takes part in as many choices as it is warm, and then counts as any other.
 func (g *Gateway) choose(r *request) *server {
 	var best *server
 	bestScore := math.Inf(1)
--- a/logic/sparse.go
+++ b/logic/sparse.go
@@ -6,22 +6,23 @@
 )
 
 // A sparse customer comes through so many gateways that a block of its own for each would hold less than two
-// requests, and most gateways see it too seldom to know its store. One call then leases for one request, on its path.
-// The name keeps the whole store: what was leased, less what the rate has filled in since the window of the name
-// began. A store that has run over shows more than it can hold; who sees that adds the difference.
+// requests, and most gateways see it too seldom to know its store. One call then leases for one request, on
+// its path. The name keeps the whole store: what was leased, less what the rate has filled in since the
+// window of the name began. A store that has run over shows more than it can hold; who sees that adds the
+// difference.
 //
-// A large fleet has more requests than the counter bears calls, so a share of them asks, and adds for the others too.
-// Those that do not ask go by the gateway's own block, which fills at its share of the rate.
+// A large fleet has more requests than the counter bears calls, so a share of them asks, and adds for the
+// others too. Those that do not ask go by the gateway's own block, which fills at its share of the rate.
 
 const (
 	askDown      = 0.7            // a call that waits too long is work for nothing
 	askLess      = 0.9            // the counter's line grows: long before calls are lost
 	askMore      = 0.01           // gentle: all gateways find the counter free at the same time
 	mostStoodFor = 5.0            // requests that one call adds for, at most
-	ownFillsIn   = nameKept       // an own block that fills a request in so long is spent before the counter is asked
+	ownFillsIn   = nameKept       // an own block that fills a request in so long comes first
 	ownPart      = 0.5            // of the rate then goes to the own blocks, the rest through the counter
 	overflow     = 0.5            // of the burst: a store that shows so much more than it holds is put right
-	restBursts   = 2.0            // times the burst takes to fill, before a gateway that was refused asks again
+	restBursts   = 2.0            // fillings of the burst, before a refused gateway asks again
 	counterGone  = 2 * leastAsked // share that asks, below which the own blocks get all of the rate
 	zeroUnits    = 1e-6           // less is rounding: totals have seven digits
 )
@@ -51,8 +52,9 @@
 	return rate
 }
 
-// openSparse prepares a sparse customer. What its own block holds besides the first share nobody knows: any part of a
-// large request is as likely, so that all gateways together let in their shares from the first moment on.
+// openSparse prepares a sparse customer. What its own block holds besides the first share nobody knows: any
+// part of a large request is as likely, so that all gateways together let in their shares from the first
+// moment on.
 func (g *Gateway) openSparse(c *customer) {
 	c.silent, c.span = true, epochLength
 	if c.ceiled() {
@@ -89,8 +91,8 @@
 	return r.cust.block >= r.Units
 }
 
-// asks is the share of such requests that ask. A repeat has most likely been refused before, and where going beyond
-// costs nothing, a guess does nearly as well.
+// asks is the share of such requests that ask. A repeat has most likely been refused before, and where going
+// beyond costs nothing, a guess does nearly as well.
 func (g *Gateway) asks(r *request) float64 {
 	switch {
 	case r.cust.ceiled():
@@ -153,7 +155,8 @@
 	}
 }
 
-// grant holds the window of a customer with a ceiling to its burst; the ends of two windows may meet in one moment.
+// grant holds the window of a customer with a ceiling to its burst; the ends of two windows may meet in one
+// moment.
 func (g *Gateway) grant(r *request, total float64) bool {
 	c := r.cust
 	most := min(c.plan.Burst, c.plan.CeilingBurst/2)
@@ -167,8 +170,8 @@
 	return inside
 }
 
-// stored says whether the store held the request's units before it asked, and puts the name right: where the store
-// has run over, where its window has just begun, and where the request is refused.
+// stored says whether the store held the request's units before it asked, and puts the name right: where the
+// store has run over, where its window has just begun, and where the request is refused.
 func (g *Gateway) stored(r *request, total float64) bool {
 	c := r.cust
 	epoch := int64((r.arrived + c.offset) / c.span)
@@ -193,8 +196,8 @@
 	return inside
 }
 
-// restOf is how long a refused customer is not asked for: until the store may hold the units; where many gateways wait
-// for the same units, the time is longer and not the same for all.
+// restOf is how long a refused customer is not asked for: until the store may hold the units; where many
+// gateways wait for the same units, the time is longer and not the same for all.
 func (g *Gateway) restOf(r *request, level float64) time.Duration {
 	rate := g.through(r.cust)
 	rest := (r.Units - level) / rate
