Prefer servers with an open connection where handshakes are priced

A gateway sends about five attempts a second over 60 servers and closes what has idled for 10 s. Ruled out: the pool (a connection in reach is always used). At fault: choose, which takes the least slow of all servers whatever a connection costs. Fix: logic.Settings has the price and the idle time; a server without a good answer in half of that time scores 1 + 4 x price worse.

--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -35,6 +35,7 @@
 	} `json:"permissions"`
 	Prices struct {
 		CrossZone float64 `json:"crossZone"`
+		Handshake float64 `json:"handshake"`
 	} `json:"prices"`
 	Invariants struct {
 		ColdFrom     float64 `json:"coldFrom"`
@@ -89,7 +90,8 @@
 		CounterTimeout: us(f.FamilyInfo.CounterTimeoutUs), MaxAttempts: f.Permissions.MaxAttempts,
 		MayCancel: f.Permissions.MayCancel, MayProbe: f.Permissions.Probing,
 		SecondCopies: f.Permissions.ParallelTries, AskForFleet: f.RegistryMode == "subscribe",
-		CrossZonePrice: f.Prices.CrossZone, ColdShare: f.Invariants.ColdFrom,
+		CrossZonePrice: f.Prices.CrossZone, HandshakePrice: f.Prices.Handshake,
+		ConnIdle: us(f.Permissions.ConnIdleUs), ColdShare: f.Invariants.ColdFrom,
 		WarmAfter: us(f.Invariants.WarmAfterUs), FallMultiple: f.Invariants.FallMultiple,
 		FallSpan: us(f.Invariants.FallUs), DrainGrace: us(f.Invariants.DrainGraceUs)}
 	if f.Permissions.RetryAfter {
--- a/logic/api.go
+++ b/logic/api.go
@@ -89,7 +89,9 @@
 	CounterTimeout time.Duration
 	AskForFleet    bool // the fleet list comes only when asked for
 	CrossZonePrice float64
-	ColdShare      float64 // a server starts with this share of its capacity or more
+	HandshakePrice float64       // of a new connection, in mean requests
+	ConnIdle       time.Duration // a connection that is idle for so long closes
+	ColdShare      float64       // a server starts with this share of its capacity or more
 	WarmAfter      time.Duration
 	FallMultiple   float64
 	FallSpan       time.Duration
--- a/logic/choice_test.go
+++ b/logic/choice_test.go
@@ -45,3 +45,29 @@
 		t.Errorf("the cold half of the fleet took %.2f of the work, want some 0.1 to 0.5", share)
 	}
 }
+
+// Where connections are dear a gateway stays with the servers that it has one to; where they cost nothing, it does not.
+func TestDearHandshakesKeepAGatewayWithItsServers(t *testing.T) {
+	used := func(price float64) int {
+		set := fleetSettings()
+		set.HandshakePrice, set.ConnIdle = price, 15*time.Second
+		var fleet []Server
+		for i := range 30 {
+			fleet = append(fleet, Server{ID: ServerID(fmt.Sprintf("s%d", i)), State: Running})
+		}
+		r := newRig(t, set, fleet...)
+		met := map[ServerID]bool{}
+		for i := range 40 {
+			r.now += 200 * ms
+			for _, s := range only[Send](r.tell(Arrival{Request{ID: RequestID(i + 1), Class: "read", Plan: "free",
+				Customer: "c", Units: 1, GiveUpAt: r.now + time.Second, Spread: 1}})) {
+				met[s.Server] = true
+				r.tell(AttemptEnded{ID: s.ID, Server: s.Server, Outcome: Done, Took: 50 * ms, Finished: true})
+			}
+		}
+		return len(met)
+	}
+	if free, dear := used(0), used(0.08); dear*2 > free {
+		t.Errorf("%d servers used with dear handshakes, %d with free ones: want half as many at most", dear, free)
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -21,30 +21,31 @@
 )
 
 const (
-	sweepsPerAim = 50                     // sweeps in the shortest aim: held requests overstay by 2% of it
-	counterLost  = 0.3                    // share of asked requests: below, the counter is as good as silent
-	leastAsked   = 0.05                   // the same at least, to find a counter that is back
-	turnsPerAim  = 8                      // turns at a customer's cap in the shortest aim
-	nameKept     = 60 * time.Second       // the counter keeps no name for longer
-	epochLength  = nameKept * 5 / 6       // window of a name: within it the allowance grows at the rate
-	leaseAhead   = 0.6                    // seconds of a customer's demand that a block holds
-	callGap      = 250 * time.Millisecond // between calls of a customer whose room is gone
-	startPerHost = 4.0                    // first window: attempts for each server, two cores of two
-	lateShareBad = 0.1                    // share of untimely answers in a round that narrows the window
-	localShare   = 0.25                   // untimely answers from fewer servers are theirs, not the fleet's
-	widenBy      = 0.05                   // growth of a small window by one timely answer
-	narrowBy     = 0.85                   // multiplicative decrease
-	leastWindow  = 0.1                    // so that a gateway still learns: an attempt each ten round trips
-	mostTrips    = 4.0                    // round trips that a round stands for at most: half the window
-	retryRatio   = 0.15                   // further attempts that a first one earns
-	hedgeDevs    = 3.0                    // mean deviations over the mean, after which a second copy goes
-	sureDevs     = 2.0                    // the same, within which nearly all answers come
-	slowGain     = 0.15                   // weight of one answer in a server's relative latency
-	failPenalty  = 8.0                    // what a failed attempt counts for, in mean latencies
-	lastResort   = 100.0                  // factor on a server that is taken only where there is no other
-	failsToBan   = 3                      // failures in a row that eject a server
-	coldRate     = 1.5                    // sends to a cold server, in what a warm one so small answers
-	forgetAims   = 8.0                    // longest aims after which half of a server's slowness is forgotten
+	sweepsPerAim  = 50                     // sweeps in the shortest aim: held requests overstay by 2% of it
+	counterLost   = 0.3                    // share of asked requests: below, the counter is as good as silent
+	leastAsked    = 0.05                   // the same at least, to find a counter that is back
+	turnsPerAim   = 8                      // turns at a customer's cap in the shortest aim
+	nameKept      = 60 * time.Second       // the counter keeps no name for longer
+	epochLength   = nameKept * 5 / 6       // window of a name: within it the allowance grows at the rate
+	leaseAhead    = 0.6                    // seconds of a customer's demand that a block holds
+	callGap       = 250 * time.Millisecond // between calls of a customer whose room is gone
+	startPerHost  = 4.0                    // first window: attempts for each server, two cores of two
+	lateShareBad  = 0.1                    // share of untimely answers in a round that narrows the window
+	localShare    = 0.25                   // untimely answers from fewer servers are theirs, not the fleet's
+	widenBy       = 0.05                   // growth of a small window by one timely answer
+	narrowBy      = 0.85                   // multiplicative decrease
+	leastWindow   = 0.1                    // so that a gateway still learns: an attempt each ten round trips
+	mostTrips     = 4.0                    // round trips that a round stands for at most: half the window
+	retryRatio    = 0.15                   // further attempts that a first one earns
+	hedgeDevs     = 3.0                    // mean deviations over the mean, after which a second copy goes
+	sureDevs      = 2.0                    // the same, within which nearly all answers come
+	slowGain      = 0.15                   // weight of one answer in a server's relative latency
+	failPenalty   = 8.0                    // what a failed attempt counts for, in mean latencies
+	lastResort    = 100.0                  // factor on a server that is taken only where there is no other
+	failsToBan    = 3                      // failures in a row that eject a server
+	handshakeWait = 4.0                    // mean waits that one handshake is worth, times its price
+	coldRate      = 1.5                    // sends to a cold server, in what a warm one so small answers
+	forgetAims    = 8.0                    // longest aims after which half of a server's slowness is forgotten
 )
 
 // Gateway decides for one gateway; see the package comment.
@@ -618,6 +619,7 @@
 	out              []*attempt
 	slow, phase      float64 // latency relative to the fleet's; part of the space to the next send
 	slowAt, lastSent time.Duration
+	lastDone         time.Duration // its last good answer
 	banned           time.Duration // no work before, unless too many are
 	fails, badRound  int           // failures in a row; last round with an untimely end
 }
@@ -663,6 +665,8 @@
 		score := g.slowness(s) * (1 + float64(len(s.out))) * (1 + 0.1*g.rng.Float64())
 		if w := g.warmth(s); w < 1 && g.rng.Float64() >= w {
 			score *= 1 / w // out of this choice, unless the others are as full
+		} else if w == 1 && !g.linked(s) { // a new one has to be got to know all the same
+			score *= 1 + handshakeWait*g.set.HandshakePrice
 		}
 		if s.Zone != g.set.Zone && g.set.CrossZonePrice > 0 {
 			score *= 1.3
@@ -677,6 +681,11 @@
 	return best
 }
 
+// linked says whether a connection to the server is likely to be open and free: one that carried a request lately.
+func (g *Gateway) linked(s *server) bool {
+	return s.lastDone > 0 && len(s.out) == 0 && g.now-s.lastDone < g.set.ConnIdle/2
+}
+
 func sameGroup(group Group, a, b *server) bool {
 	return group == GroupAll || group == GroupZone && a.Zone == b.Zone ||
 		group == GroupCell && a.Cell == b.Cell
@@ -702,7 +711,7 @@
 		c.dev += 0.02 * (math.Abs(clipped-c.mean) - c.dev)
 		c.mean += 0.02 * (clipped - c.mean)
 		g.lag += 0.05 * (clipped - g.lag)
-		s.fails, s.banned = 0, 0
+		s.fails, s.banned, s.lastDone = 0, 0, g.now
 		g.flow = 1 + g.flow*math.Exp(-(g.now-g.flowAt).Seconds())
 		g.flowAt = g.now
 	} else {
