Spare as many cold servers the handshake's price as warm ones have connections

At fault: choose, which spared every warming server. Fix: it spares the part of them that the linked warm servers are of all warm ones, so the cold get their warmth's share.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -43,7 +43,7 @@
 	failPenalty   = 8.0                    // what a failed attempt counts for, in mean latencies
 	lastResort    = 100.0                  // factor on a server that is taken only where there is no other
 	failsToBan    = 3                      // failures in a row that eject a server
-	handshakeWait = 4.0                    // mean waits that one handshake is worth, times its price
+	handshakeWait = 10.0                   // mean waits that one handshake is worth, times its price
 	coldRate      = 1.5                    // sends to a cold server, in what a warm one so small answers
 	forgetAims    = 8.0                    // longest aims after which half of a server's slowness is forgotten
 )
@@ -78,8 +78,8 @@
 	flow    float64 // answers a second to this gateway
 	flowAt  time.Duration
 
-	warm       float64 // capacity of the fleet when it was last added up
-	capacityAt time.Duration
+	warm, linkedShare float64 // capacity of the fleet; part of the warm servers with a connection; as last added up
+	capacityAt        time.Duration
 
 	askShare     float64 // share of the sparse customers' requests that the counter is asked for
 	counterFails int
@@ -665,8 +665,8 @@
 		score := g.slowness(s) * (1 + float64(len(s.out))) * (1 + 0.1*g.rng.Float64())
 		if w := g.warmth(s); w < 1 && g.rng.Float64() >= w {
 			score *= 1 / w // out of this choice, unless the others are as full
-		} else if w == 1 && !g.linked(s) { // a new one has to be got to know all the same
-			score *= 1 + handshakeWait*g.set.HandshakePrice
+		} else if !g.linked(s) && (w == 1 || g.rng.Float64() >= g.linkedShare) {
+			score *= 1 + handshakeWait*g.set.HandshakePrice // as many cold ones are spared as warm ones are
 		}
 		if s.Zone != g.set.Zone && g.set.CrossZonePrice > 0 {
 			score *= 1.3
@@ -900,8 +900,21 @@
 func (g *Gateway) capacity() float64 {
 	if g.now >= g.capacityAt+g.sweep {
 		g.capacityAt, g.warm = g.now, 0
+		warm, linked := 0.0, 0.0
 		for _, s := range g.fleet {
-			g.warm += g.warmth(s)
+			w := g.warmth(s)
+			g.warm += w
+			if w < 1 {
+				continue
+			}
+			warm++
+			if g.linked(s) {
+				linked++
+			}
+		}
+		g.linkedShare = 1
+		if warm > 0 {
+			g.linkedShare = linked / warm
 		}
 	}
 	return max(g.warm, g.set.ColdShare, 0.01)
