Pass the true units of an answer on to the module

Seen: the protocol tells a request's true units in the figures on use (cost), and the module settles blocks by them, but on sockets AttemptEnded never had any: parseReply skipped the second element, so quotas went by guesses there and not in the simulator. Fix: parseReply reads cost, end passes it on, bounded by the most units of a request.

--- a/internal/ingress/backend.go
+++ b/internal/ingress/backend.go
@@ -92,6 +92,7 @@
 type reply struct {
 	outcome logic.Outcome
 	value   []byte
+	settled float64 // the true units, where the answer tells them; else 0
 	load    logic.Load
 	keep    bool // it is of a known form and nothing stands behind it: the connection is in order
 }
@@ -226,6 +227,8 @@
 			switch {
 			case i == 0 && e.Type == redcon.Bulk && e.Data != nil:
 				out.outcome, out.keep, out.value = logic.Done, true, append(make([]byte, 0, len(e.Data)), e.Data...)
+			case i == 1 && e.Type == redcon.Bulk:
+				out.settled = parseLoad(string(e.Data))["cost"]
 			case i == 2 && e.Type == redcon.Bulk:
 				out.load = parseLoad(string(e.Data))
 			}
--- a/internal/ingress/gateway.go
+++ b/internal/ingress/gateway.go
@@ -487,7 +487,7 @@
 	}
 	r.out--
 	g.tell(logic.AttemptEnded{ID: r.ID, Attempt: a.n, Server: a.be.ID, Outcome: o, Took: g.now - a.began,
-		Finished: r.final, Load: rep.load})
+		Finished: r.final, Settled: min(rep.settled, g.mostUnits), Load: rep.load})
 	g.forget(r)
 }
 
