--- a/logic/logic.go
+++ b/logic/logic.go
@@ -681,7 +681,8 @@
 	return best
 }
 
-// linked says whether a connection to the server is likely to be open and free: one that carried a request lately.
+// linked says whether a connection to the server is likely to be open and free: one that carried a request
+// lately.
 func (g *Gateway) linked(s *server) bool {
 	return s.lastDone > 0 && len(s.out) == 0 && g.now-s.lastDone < g.set.ConnIdle/2
 }
