--- a/logic/logic.go
+++ b/logic/logic.go
@@ -45,7 +45,7 @@
 	failsToBan    = 3                      // failures in a row that eject a server
 	handshakeWait = 10.0                   // mean waits that one handshake is worth, times its price
 	coldRate      = 1.5                    // sends to a cold server, in what a warm one so small answers
-	forgetAims    = 8.0                    // longest aims after which half of a server's slowness is forgotten
+	forgetAims    = 8.0                    // longest aims after which half of a slowness is forgotten
 )
 
 // Gateway decides for one gateway; see the package comment.
@@ -78,7 +78,7 @@
 	flow    float64 // answers a second to this gateway
 	flowAt  time.Duration
 
-	warm, linkedShare float64 // capacity of the fleet; part of the warm servers with a connection; as last added up
+	warm, linkedShare float64 // the fleet, in warm servers; part of the warm that are linked
 	capacityAt        time.Duration
 
 	askShare     float64 // share of the sparse customers' requests that the counter is asked for
