--- a/logic/choice_test.go
+++ b/logic/choice_test.go
@@ -71,3 +71,22 @@
 		t.Errorf("%d servers used with dear handshakes, %d with free ones: want half as many at most", dear, free)
 	}
 }
+
+// A late answer is a sign of a full back end only where the server says that requests wait, or says nothing.
+func TestLateAnswersCountWhereRequestsWait(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		load Load
+		bad  int
+	}{
+		{"nothing told", nil, 1},
+		{"one waits", Load{"queue": 1}, 1},
+		{"none waits", Load{"queue": 0, "util": 0.9}, 0},
+	} {
+		r := newRig(t, settings(), Server{ID: "s", State: Running})
+		r.g.judge(&attempt{s: r.g.servers["s"]}, r.g.classes["read"], Done, 400*ms, c.load)
+		if r.g.bad != c.bad {
+			t.Errorf("%s: %d counted as late, want %d", c.name, r.g.bad, c.bad)
+		}
+	}
+}
