Follow the settings' deadlines at a shutdown, notice who leaves, keep discovery's clocks

- Shutdown took a fixed 3.3 s; SIGKILL follows the longest deadline by 0.7 s (gateway.go, graceAll).
The last answer now has its time from the classes; what comes meanwhile gets no longer than that, later commands are turned away, and connections waiting in the backlog are taken before the listener closes.
- A connection's reader stopped where 64 commands waited, in a pause after nonsense, and once framing was lost: nobody saw the client leave meanwhile (client.go, room, pause, serve).
Reading never stops now; commands beyond 64 are turned away in their order, beyond 512 the connection ends.
The time limit of a command was that of the first half one in a row.
- An attempt that waited for a connection was sent though its request was over where attempts may not be called off (backend.go, free), and waited on when its backend drained.
- Settings with maxAttempts 0 never sent anything; idle connections were trusted past a short idle time.

--- a/internal/ingress/backend.go
+++ b/internal/ingress/backend.go
@@ -23,7 +23,7 @@
 	probeTimeout   = 250 * time.Millisecond // of a probe, which has no request whose time could end it
 	writeTimeout   = 5 * time.Second
 	answerTime     = 200 * time.Millisecond // for the rest of an answer that has begun: one that never ends is spoilt
-	restTime       = 3 * time.Millisecond   // of a connection between two commands: what stands behind an answer shows
+	restTime       = 20 * time.Millisecond  // of a connection between two commands: a second answer comes some later
 	mostLoad       = 1e9                    // a load figure beyond is none
 )
 
@@ -262,7 +262,7 @@
 	for n := len(be.idle); n > 0; n = len(be.idle) {
 		c := be.idle[n-1]
 		be.idle = be.idle[:n-1]
-		if c.quiet() {
+		if g.now-c.since <= g.net.Idle*2/3 && c.quiet() { // else the machine is about to close it
 			g.write(c, a)
 			return
 		}
@@ -323,8 +323,9 @@
 	for len(be.waiting) > 0 {
 		a := be.waiting[0]
 		be.waiting = be.waiting[1:]
-		// The list may have changed since the attempt began to wait: a drain counts from then on.
-		if be.State != logic.Running {
+		// Much may have changed since the attempt began to wait: a drain counts from when it is told, and a request may
+		// be over.
+		if be.State != logic.Running || a.req != nil && a.req.final {
 			g.end(a, logic.Moot, reply{})
 			continue
 		}
--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"os"
 	"strconv"
@@ -19,7 +18,8 @@
 )
 
 const (
-	mostPipelined = 64                      // commands of one connection whose answers are not written yet
+	mostPipelined = 64                      // commands of one connection whose answers are not written yet; more are turned away
+	mostTurned    = 512                     // the same, and then the connection ends
 	firstCommand  = 2400 * time.Millisecond // from connecting to the end of the first command, and for the rest of a later one
 	idleTime      = 2100 * time.Millisecond // a connection without an open request is closed then
 	tidyEvery     = 250 * time.Millisecond
@@ -28,9 +28,10 @@
 	slotPause     = 5 * time.Millisecond // before a further connection is closed for want of a place
 	newcomer      = 50 * time.Millisecond
 	lingerTime    = 250 * time.Millisecond // for the client to see our end of a connection
-	lingerBytes   = 256 << 10
-	faultPause    = 50 * time.Millisecond // before the answer to nonsense, longer each time
-	mostFaults    = 10                    // pieces of nonsense before a connection ends
+	lingerBytes   = 64 << 10
+	discardPause  = 10 * time.Millisecond  // after each so many bytes that are of no use
+	faultPause    = 100 * time.Millisecond // before the answer to nonsense, longer each time
+	mostFaults    = 10                     // pieces of nonsense before a connection ends
 )
 
 // request is a client's command, and the gateway's books on it.
@@ -58,6 +59,7 @@
 	mu         sync.Mutex
 	clients    map[*client]bool
 	draining   bool
+	accepted   chan struct{} // closed when no more are
 	wg         sync.WaitGroup
 }
 
@@ -65,7 +67,9 @@
 type client struct {
 	f       *front
 	nc      net.Conn
-	room    chan struct{} // taken by each command until its answer is written
+	in      inbox // the reader's, as the next two are
+	paused  int32 // faults that were followed by a pause
+	left    bool  // the client has gone
 	wake    chan struct{}
 	written chan struct{} // closed when nothing is written any more
 	faults  atomic.Int32  // pieces of nonsense that came
@@ -73,6 +77,7 @@
 	waiting []*slot // commands whose answers are not in out yet
 	out     []byte
 	ready   int       // answers in out
+	pending int       // commands whose answers are not written
 	unsent  int       // bytes of answers that are not written
 	used    time.Time // when it was opened, the last command came or the last answer left
 	spoken  bool      // a whole command has come
@@ -96,15 +101,16 @@
 
 func newFront(ln net.Listener, gw *Gateway, most, memory int) *front {
 	return &front{ln: ln, gw: gw, slots: make(chan struct{}, most), frames: newBudget(memory),
-		mostUnsent: int64(memory), clients: map[*client]bool{}}
+		mostUnsent: int64(memory), clients: map[*client]bool{}, accepted: make(chan struct{})}
 }
 
-// accept takes connections until the listener closes.
+// accept takes connections until the listener closes, or none has come for as long as a drain waits for them.
 func (f *front) accept() {
+	defer close(f.accepted)
 	for {
 		f.takeSlot()
 		nc, err := f.ln.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 			return
 		}
 		if err != nil { // out of descriptors, say: a pause, then on
@@ -119,15 +125,18 @@
 		closing := f.draining
 		f.mu.Unlock()
 		if closing {
-			c.close()
+			c.closeSoon()
 		}
 		go c.serve()
 	}
 }
 
 func newClient(f *front, nc net.Conn) *client {
-	return &client{f: f, nc: nc, room: make(chan struct{}, mostPipelined), wake: make(chan struct{}, 1),
-		written: make(chan struct{}), used: time.Now()}
+	c := &client{f: f, nc: nc, wake: make(chan struct{}, 1), written: make(chan struct{}), used: time.Now()}
+	if f != nil {
+		c.in.budget = f.frames
+	}
+	return c
 }
 
 // takeSlot waits for the place of a further connection. Clients keep idle ones for good and hundreds may say nothing at
@@ -212,15 +221,23 @@
 	}
 }
 
-// drain closes the listener, and every connection as soon as nothing on it waits for an answer.
+// drain closes every connection as soon as nothing on it waits for an answer, and the listener. Those that have come and
+// wait to be accepted hold requests already: they are taken first.
 func (f *front) drain(ctx context.Context) {
-	f.ln.Close()
 	f.mu.Lock()
 	f.draining = true
 	for c := range f.clients {
-		c.close()
+		c.closeSoon()
 	}
 	f.mu.Unlock()
+	if l, ok := f.ln.(*net.TCPListener); ok {
+		l.SetDeadline(time.Now().Add(backlogTime))
+		select {
+		case <-f.accepted:
+		case <-time.After(2 * backlogTime):
+		}
+	}
+	f.ln.Close()
 	done := make(chan struct{})
 	go func() {
 		f.wg.Wait()
@@ -247,11 +264,9 @@
 		c.write(done)
 	}()
 	if c.read() {
-		// The framing is lost. What came before is answered, then the fault, then the connection ends. Nothing
-		// more is read until then: a flood costs its sender's time only.
+		// The framing is lost. What came before is answered, then the fault, then the connection ends.
 		c.close()
-		<-c.written
-		io.CopyN(io.Discard, c.nc, lingerBytes)
+		c.discard()
 	}
 	c.nc.Close()
 	close(done)
@@ -275,6 +290,46 @@
 	<-c.f.slots
 }
 
+// discard reads on without a use for it until the last answer is written, so that a client that leaves before is noticed,
+// and for a little after. It is slow on purpose: a flood costs its sender's time only.
+func (c *client) discard() {
+	c.limit(time.Time{})
+	buf := make([]byte, smallBuffer)
+	for n := 0; ; {
+		k, err := c.nc.Read(buf)
+		if err != nil { // gone, or the writer's limit has passed
+			return
+		}
+		if n += k; n > lingerBytes {
+			n = 0
+			wait(context.Background(), discardPause)
+		}
+	}
+}
+
+// limit sets how long reading may take; once the connection has ended that is the writer's.
+func (c *client) limit(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ended {
+		c.nc.SetReadDeadline(t)
+	}
+}
+
+// closeSoon closes as close does, but leaves a connection that is so new that its first command may be under way the time
+// to bring it.
+func (c *client) closeSoon() {
+	c.mu.Lock()
+	fresh := newcomer - time.Since(c.used)
+	spoken := c.spoken
+	c.mu.Unlock()
+	if spoken || fresh <= 0 {
+		c.close()
+		return
+	}
+	time.AfterFunc(fresh, c.close)
+}
+
 // close asks for the end of the connection at the next moment between requests.
 func (c *client) close() {
 	c.mu.Lock()
@@ -292,31 +347,35 @@
 
 // read takes commands until the connection ends; it says whether that was for nonsense.
 func (c *client) read() (lost bool) {
-	in := inbox{budget: c.f.frames}
-	defer in.close()
-	limited, paused := false, int32(0)
+	defer c.in.close()
+	limited := false
 	for {
-		f, err := in.next()
+		f, err := c.in.next()
 		switch {
 		case f != nil:
+			if c.crowded(mostTurned) {
+				c.fault("too many commands at once")
+				return true
+			}
 			c.command(f, time.Now())
 			if n := c.faults.Load(); n >= mostFaults {
 				return true
-			} else if n > paused { // of a fault that the gateway found
-				paused = c.pause()
+			} else if c.left || n > c.paused && !c.pause(n) { // of a fault that the gateway found
+				return false
+			}
+			if limited { // the next one has its own time
+				c.limit(time.Time{})
+				limited = false
 			}
 			continue
 		case err == nil:
 			// Only the rest of a command has a time limit, from its beginning on; setting one for each read would
 			// cost CPU.
-			if in.partial() && !limited {
-				c.nc.SetReadDeadline(time.Now().Add(firstCommand))
+			if c.in.partial() && !limited {
+				c.limit(time.Now().Add(firstCommand))
 				limited = true
-			} else if limited && !in.partial() && !c.hasEnded() {
-				c.nc.SetReadDeadline(time.Time{})
-				limited = false
 			}
-			err = in.fill(c.nc.Read)
+			err = c.in.fill(c.nc.Read)
 		}
 		switch {
 		case err == nil:
@@ -332,22 +391,42 @@
 	}
 }
 
-// fault answers nonsense, after a pause: a client that repeats it as soon as it has been turned away takes no CPU from
-// the others.
+// fault answers nonsense, after a pause.
 func (c *client) fault(text string) {
-	c.faults.Add(1)
-	c.pause()
-	c.reply(redcon.AppendError(nil, "ERR "+text))
+	if c.left = !c.pause(c.faults.Add(1)); !c.left {
+		c.reply(redcon.AppendError(nil, "ERR "+text))
+	}
 }
 
-// pause waits, longer with each fault, and returns their number.
-func (c *client) pause() int32 {
-	n := c.faults.Load()
+// pause follows the n-th fault, longer each time: a client that repeats nonsense as soon as it has been turned away takes no
+// CPU from the others. What comes meanwhile is kept as far as there is room, so that a client that leaves is noticed, which
+// it tells.
+func (c *client) pause(n int32) (here bool) {
+	c.paused = n
+	until := time.Now().Add(time.Duration(n) * faultPause)
+	for c.in.room() {
+		c.limit(until)
+		err := c.in.fill(c.nc.Read)
+		c.limit(time.Time{})
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return !c.hasEnded()
+		}
+		if err != nil {
+			return false
+		}
+	}
 	select {
-	case <-time.After(time.Duration(n) * faultPause):
+	case <-time.After(time.Until(until)):
 	case <-c.written:
 	}
-	return n
+	return true
+}
+
+// crowded says whether so many commands wait for their answers to be written.
+func (c *client) crowded(most int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pending >= most
 }
 
 func (c *client) hasEnded() bool {
@@ -372,6 +451,10 @@
 			c.fault(err.Error())
 			return
 		}
+		if c.crowded(mostPipelined) { // reading never stops, or nobody would see this client leave
+			c.reply(c.f.gw.turnedAway)
+			return
+		}
 		if s := c.open(r); s != nil {
 			r.slot = s
 			c.f.gw.post(arrived{r})
@@ -383,18 +466,13 @@
 
 // open keeps a place for an answer; nil when the connection takes no more.
 func (c *client) open(r *request) *slot {
-	select {
-	case c.room <- struct{}{}: // freed as answers are written, and each request has a time limit
-	case <-c.written:
-		return nil
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.ended {
-		<-c.room
 		return nil
 	}
 	s := &slot{c: c, req: r}
+	c.pending++
 	c.used, c.spoken = time.Now(), true
 	c.waiting = append(c.waiting, s)
 	return s
@@ -454,15 +532,13 @@
 			_, err := c.nc.Write(buf)
 			c.mu.Lock()
 			c.unsent -= len(buf)
+			c.pending -= ready
 			c.mu.Unlock()
 			c.f.unsent.Add(-int64(len(buf)))
 			if err != nil {
 				c.nc.Close()
 				return
 			}
-			for range ready {
-				<-c.room
-			}
 		}
 		if cap(buf) > smallBuffer {
 			buf = nil
--- a/internal/ingress/gateway.go
+++ b/internal/ingress/gateway.go
@@ -26,12 +26,17 @@
 	usualMemory  = 256 << 20 // where no limit is told
 	mostBatch    = 256
 	answerMargin = 20 * time.Millisecond  // before the client gives up: the way back, and a busy machine
+	busyAdvice   = 250 * time.Millisecond // to those that find no place, where advice is allowed
 	overdue      = 8 * time.Millisecond   // into the margin: the module should have answered by now
 	firstList    = 300 * time.Millisecond // what a start waits for discovery before it serves from the known list
 	idleCheck    = time.Second
-	graceOpen    = 600 * time.Millisecond  // after SIGTERM: new connections go on being served
-	graceAll     = 3300 * time.Millisecond // after SIGTERM: everything is answered by then
-	spare        = 32                      // descriptors for the counter, discovery, the listener and the runtime
+	graceOpen    = 500 * time.Millisecond // after SIGTERM: new connections go on being served
+	backlogTime  = 50 * time.Millisecond  // then, for those that came and were not accepted yet
+	killWait     = 700 * time.Millisecond // SIGKILL comes so long after SIGTERM and the longest deadline
+	longestKept  = 3 * time.Second        // that deadline counts as this where it is longer
+	endMargin    = 250 * time.Millisecond // before SIGKILL: everything has its answer, and connections end
+	goodbye      = 150 * time.Millisecond // for the end of the connections then
+	spare        = 32                     // descriptors for the counter, discovery, the listener and the runtime
 )
 
 // Config is all that an ingress is told.
@@ -48,8 +53,8 @@
 // event is what the gateway's goroutine is told by the others.
 type event any
 
-// endAll asks for a final answer to everything, at the end of a shutdown.
-type endAll struct{}
+// ending tells of a shutdown: everything has its final answer by then, on the gateway's clock.
+type ending struct{ by time.Duration }
 
 // Gateway owns the decision module: its clock, its timers and the table of requests. Its goroutine never
 // waits for a peer.
@@ -76,6 +81,7 @@
 	requests  map[logic.RequestID]*request
 	keys      map[uint64]bool // ids of requests whose time is not up, ended or not
 	lastID    logic.RequestID
+	endBy     time.Duration // of a shutdown; 0: none
 	backends  map[logic.ServerID]*backend
 	heldBytes int  // bytes of their commands
 	conns     int  // to backends
@@ -83,10 +89,12 @@
 	actions   []logic.Action
 	queue     []logic.Event // for the module, from actions that ended at once
 
-	mostConns int     // of conns
-	mostHeld  int     // of heldBytes
-	mostUnits float64 // of one request
-	frames    *budget // memory of answers that are coming in
+	mostConns  int     // of conns
+	mostHeld   int     // of heldBytes
+	mostUnits  float64 // of one request
+	mostTries  int     // attempts of one request
+	turnedAway []byte  // the answer to what is not taken
+	frames     *budget // memory of answers that are coming in
 }
 
 // New checks the configuration and returns an ingress that does not run yet.
@@ -102,10 +110,6 @@
 			return nil, fmt.Errorf("not an address: %w", err)
 		}
 	}
-	mod, err := logic.New(cfg.Settings, cfg.Seed)
-	if err != nil {
-		return nil, err
-	}
 	if cfg.Connections.ConnectTimeout <= 0 {
 		cfg.Connections.ConnectTimeout = 250 * time.Millisecond
 	}
@@ -115,16 +119,24 @@
 	if cfg.Connections.Idle <= 0 {
 		cfg.Connections.Idle = 15 * time.Second
 	}
+	if cfg.Settings.Counter && cfg.Settings.CounterTimeout <= 0 {
+		cfg.Settings.CounterTimeout = 100 * time.Millisecond
+	}
 	if cfg.Memory <= 0 {
 		cfg.Memory = usualMemory
 	}
+	mod, err := logic.New(cfg.Settings, cfg.Seed)
+	if err != nil {
+		return nil, err
+	}
 	start := time.Now()
 	g := &Gateway{cfg: cfg, net: cfg.Connections, log: log, classes: map[string]logic.Class{}, plans: map[string]bool{},
 		events: make(chan event, eventQueue), stopped: make(chan struct{}), ready: make(chan struct{}), start: start,
 		epoch: time.Duration(start.UnixNano()), mod: mod, requests: map[logic.RequestID]*request{},
 		keys: map[uint64]bool{}, backends: map[logic.ServerID]*backend{}, mostConns: cfg.Sockets * 3 / 8,
 		mostHeld: cfg.Memory / memoryShare, mostUnits: cmp.Or(cfg.Settings.MaxUnits, math.MaxFloat64),
-		frames: newBudget(cfg.Memory / memoryShare)}
+		frames: newBudget(cfg.Memory / memoryShare), mostTries: max(cfg.Settings.MaxAttempts, 1),
+		turnedAway: busy(min(busyAdvice, cfg.Settings.MaxRetryAfter))}
 	for _, c := range cfg.Settings.Classes {
 		g.classes[c.Name] = c
 	}
@@ -132,11 +144,8 @@
 		g.plans[p.Name] = true
 	}
 	g.counter = newCounter(cfg.Counter, cfg.Settings.CounterTimeout, g.post)
-	spread := time.Duration(0)
-	if cfg.Settings.AskForFleet && cfg.Settings.Gateways > fewIngresses && len(cfg.Known.Targets) > 0 {
-		spread = askSpread * time.Duration(cfg.Settings.Gateways)
-	}
-	g.disc = newDiscovery(cfg.Discovery, cfg.Known.Rev, spread, g.post, log)
+	g.disc = newDiscovery(cfg.Discovery, cfg.Known.Rev,
+		paceOf(cfg.Settings.AskForFleet, cfg.Settings.Gateways, len(cfg.Known.Targets) > 0), g.post, log)
 	return g, nil
 }
 
@@ -208,15 +217,24 @@
 
 	<-ctx.Done()
 	g.log.Info("shutting down")
-	limit, cancel := context.WithTimeout(life, graceAll)
+	left := endTime(g.cfg.Settings.Classes)
+	limit, cancel := context.WithTimeout(life, left+goodbye)
 	defer cancel()
+	g.post(ending{g.clock(time.Now()) + left})
 	time.Sleep(graceOpen)
-	last := time.AfterFunc(graceAll-graceOpen-100*time.Millisecond, func() { g.post(endAll{}) })
-	defer last.Stop()
 	f.drain(limit)
 	return nil
 }
 
+// endTime is how long after SIGTERM the last answer is given: SIGKILL follows the longest deadline of the settings.
+func endTime(classes []logic.Class) time.Duration {
+	longest := time.Duration(0)
+	for _, c := range classes {
+		longest = max(longest, c.Deadline)
+	}
+	return max(min(longest, longestKept)+killWait-endMargin, graceOpen)
+}
+
 // spawn starts a goroutine that ends with the gateway's life, and is waited for.
 func (g *Gateway) spawn(run func(context.Context)) {
 	g.spawned.Add(1)
@@ -300,10 +318,13 @@
 		g.counted(ev)
 	case Fleet:
 		g.fleet(ev)
-	case endAll:
-		for _, r := range g.requests {
-			g.cutOff(r)
-		}
+	case ending:
+		g.endBy = ev.by
+		g.at(ev.by, func() {
+			for _, r := range g.requests {
+				g.cutOff(r)
+			}
+		})
 	}
 	g.flush()
 }
@@ -332,12 +353,7 @@
 			g.giveUp(r.attempts[a.Attempt], logic.Cancelled)
 		}
 	case logic.Refuse:
-		b := []byte("-BUSY\r\n")
-		if a.RetryAfter > 0 {
-			b = strconv.AppendInt(append(b[:5], ' '), max(1, a.RetryAfter.Milliseconds()), 10)
-			b = append(b, '\r', '\n')
-		}
-		g.answer(g.requests[a.ID], b)
+		g.answer(g.requests[a.ID], busy(a.RetryAfter))
 	case logic.Fail:
 		g.answer(g.requests[a.ID], []byte("-ERR failed\r\n"))
 	case logic.SetTimer:
@@ -361,13 +377,22 @@
 	}
 }
 
+// busy is the refusal that advises to come again after a while; 0: no advice.
+func busy(after time.Duration) []byte {
+	if after <= 0 {
+		return []byte("-BUSY\r\n")
+	}
+	return append(strconv.AppendInt([]byte("-BUSY "), max(1, after.Milliseconds()), 10), '\r', '\n')
+}
+
 // --- requests ---
 
 func (g *Gateway) arrived(r *request) {
-	// Many clients with large bodies must not fill the memory: beyond the bounds nothing is taken.
-	if len(g.requests) >= g.net.MaxOpen || g.heldBytes+r.size > g.mostHeld {
+	// Many clients with large bodies must not fill the memory: beyond the bounds nothing is taken. Nor is at the end of
+	// a shutdown, while clients go on sending on what is still open.
+	if len(g.requests) >= g.net.MaxOpen || g.heldBytes+r.size > g.mostHeld || g.endBy > 0 && g.now >= g.endBy {
 		r.final = true
-		r.slot.answer([]byte("-BUSY 250\r\n"))
+		r.slot.answer(g.turnedAway)
 		return
 	}
 	if g.keys[r.key] { // the one who asked first has its answer, and nobody else
@@ -380,6 +405,9 @@
 	r.ID = g.lastID
 	g.requests[r.ID], g.keys[r.key] = r, true
 	g.heldBytes += r.size
+	if g.endBy > 0 {
+		r.GiveUpAt = min(r.GiveUpAt, g.endBy)
+	}
 	g.tell(logic.Arrival{Request: r.Request})
 	g.at(r.GiveUpAt+overdue, func() {
 		delete(g.keys, r.key)
@@ -394,9 +422,21 @@
 	}
 	r.final = true
 	r.slot.answer(b)
+	g.unsend(r)
 	g.forget(r)
 }
 
+// unsend ends the attempts of a request that is over which still wait for a connection: they must not be sent any more,
+// also where attempts that are out may not be called off.
+func (g *Gateway) unsend(r *request) {
+	for _, a := range r.attempts {
+		if !a.ended && a.conn == nil {
+			g.unwait(a)
+			g.end(a, logic.Moot, reply{})
+		}
+	}
+}
+
 // abandon ends a request whose client has gone.
 func (g *Gateway) abandon(r *request) {
 	if r.final {
@@ -404,6 +444,7 @@
 	}
 	r.final = true
 	g.tell(logic.Abandoned{ID: r.ID})
+	g.unsend(r)
 	g.forget(r)
 }
 
@@ -413,12 +454,16 @@
 		return
 	}
 	g.log.Warn("no answer in time", "class", r.Class, "attempts", len(r.attempts))
-	g.answer(r, []byte("-ERR failed\r\n"))
+	text := []byte("-ERR failed\r\n")
+	if len(r.attempts) == 0 { // it never ran
+		text = g.turnedAway
+	}
 	g.tell(logic.Abandoned{ID: r.ID})
+	g.answer(r, text)
 }
 
 func (g *Gateway) forget(r *request) {
-	if r.final && r.out == 0 {
+	if r.final && r.out == 0 && g.requests[r.ID] == r {
 		g.heldBytes -= r.size
 		delete(g.requests, r.ID)
 		r.args, r.slot, r.attempts = nil, nil, nil // its timer may hold it for seconds more
@@ -441,7 +486,7 @@
 	}
 	r.attempts = append(r.attempts, a)
 	r.out++
-	if r.final || a.stop <= g.now || a.n >= g.cfg.Settings.MaxAttempts || be.State != logic.Running {
+	if r.final || a.stop <= g.now || a.n >= g.mostTries || be.State != logic.Running {
 		g.end(a, logic.Moot, reply{})
 		return
 	}
@@ -526,6 +571,11 @@
 	g.retireIdle()
 	g.tell(ev)
 	for _, be := range g.backends {
+		for be.State != logic.Running && len(be.waiting) > 0 { // nothing new goes there, so these go elsewhere now
+			a := be.waiting[0]
+			be.waiting = be.waiting[1:]
+			g.end(a, logic.Moot, reply{})
+		}
 		g.drop(be)
 	}
 }
--- a/internal/ingress/resp.go
+++ b/internal/ingress/resp.go
@@ -124,6 +124,9 @@
 	return f, nil
 }
 
+// room says whether a read fits without more memory.
+func (in *inbox) room() bool { return in.have-in.start < smallBuffer }
+
 // partial says whether a frame has begun and not ended.
 func (in *inbox) partial() bool { return in.have > in.start }
 
