--- a/internal/ingress/crossing_test.go
+++ b/internal/ingress/crossing_test.go
@@ -92,6 +92,55 @@
 	}
 }
 
+// A watch that has fallen silent is opened anew, and brings what was missed.
+func TestSilentWatch(t *testing.T) {
+	n := testWatches(t, func(n int32, w http.ResponseWriter, change string, ended <-chan struct{}) {
+		io.WriteString(w, "\n")
+		if n > 1 {
+			io.WriteString(w, change)
+		}
+		w.(http.Flusher).Flush()
+		<-ended
+	})
+	if n < 2 {
+		t.Fatalf("%d watches, want a second one", n)
+	}
+}
+
+// What the agent has counts from the first moment of a new process: the known list may be old.
+func TestFreshStart(t *testing.T) {
+	a, b := named(t, "a"), named(t, "b")
+	list := fleetOf(a.addr, b.addr)
+	list.Rev, list.Targets[0].State = 2, "DRAINING"
+	addr, _ := startIngress(t, testConfig(registry(t, list, nil), fleetOf(a.addr)))
+	until(t, addr, "b")
+	seen := len(a.seen())
+	nc, in := dial(t, addr)
+	for i := range 20 {
+		io.WriteString(nc, ask(1000+i, readFields))
+		line(t, in)
+		line(t, in)
+	}
+	if n := len(a.seen()); n != seen {
+		t.Fatalf("%d commands to a backend that drains", n-seen)
+	}
+}
+
+// until asks until the backend of that name serves.
+func until(t *testing.T, addr, name string) {
+	t.Helper()
+	nc, in := dial(t, addr)
+	for i := 0; ; i++ {
+		io.WriteString(nc, ask(i, readFields))
+		if got := line(t, in); got != "$1" {
+			t.Fatalf("answer %q: no list is in force", got)
+		}
+		if line(t, in) == name {
+			return
+		}
+	}
+}
+
 // testWatches lets watch answer the watches of an ingress whose backend serves, and awaits that the change moves the
 // requests to another one. It returns the number of watches by then.
 func testWatches(t *testing.T, watch func(n int32, w http.ResponseWriter, change string, ended <-chan struct{})) int32 {
@@ -112,16 +161,8 @@
 	cfg := testConfig(strings.TrimPrefix(s.URL, "http://"), list)
 	cfg.Settings.MaxAttempts = 3 // one may be on its way to a backend as that drains
 	addr, _ := startIngress(t, cfg)
-	nc, in := dial(t, addr)
-	for i := 0; ; i++ {
-		io.WriteString(nc, ask(i, readFields))
-		if got := line(t, in); got != "$1" {
-			t.Fatalf("answer %q: the list is no longer in force", got)
-		}
-		if line(t, in) == "b" {
-			return watches.Load()
-		}
-	}
+	until(t, addr, "b")
+	return watches.Load()
 }
 
 // What discovery may still tell counts within its clocks, for any size of fleet: where lists are pushed within the second
@@ -354,6 +395,7 @@
 		return r
 	}
 	first := arrive(1)
+	waits := first.attempts // for a connection
 	by := g.now + time.Second
 	g.handle(ending{by})
 	if second := arrive(2); second.final || second.GiveUpAt != by {
@@ -364,6 +406,9 @@
 	if third := arrive(3); !first.final || !third.final || string(third.slot.reply) != "-BUSY\r\n" {
 		t.Fatalf("first answered: %v; third %q", first.final, third.slot.reply)
 	}
+	if len(waits) != 1 || !waits[0].ended {
+		t.Fatalf("%d attempts waited for a connection, want one, that has ended", len(waits))
+	}
 }
 
 // A connection that is so new that its first command may be on its way is not closed unheard by a shutdown.
