--- a/internal/ingress/crossing_test.go
+++ b/internal/ingress/crossing_test.go
@@ -299,7 +299,7 @@
 			}
 			run(t, g)
 			c := newClient(newFront(nil, g, 1, 1<<20), nil)
-			r := &request{key: 1, slot: &slot{c: c}, args: make([][]byte, 4)}
+			r := &request{key: 1, slot: &slot{c: c}, args: make([][]byte, 4), size: 7}
 			r.Class, r.Plan, r.Units, r.Spread, r.GiveUpAt = "read", "p", 1, 1, g.now+time.Minute
 			g.handle(arrived{r})
 			if len(r.attempts) != 1 {
@@ -308,6 +308,9 @@
 			a := r.attempts[0]
 			up := (<-g.events).(connUp) // comes up, and is told of only after the request has ended
 			over(g, r)
+			if now := name != "other answer"; a.ended != now {
+				t.Fatalf("the attempt has ended: %v, want it at once: %v", a.ended, now)
+			}
 			g.handle(up)
 			if !a.ended || up.c.cur != nil || len(up.c.work) > 0 {
 				t.Fatalf("ended %v, the connection carries %v", a.ended, up.c.cur)
@@ -466,6 +469,29 @@
 	}
 }
 
+// The same where the connection's own word of it has not been heard yet.
+func TestClosedJustAsItIsUsed(t *testing.T) {
+	leave, closed := make(chan struct{}), make(chan struct{}, 2) // the attempt dials a second one
+	g := idleGateway(t, listen(t, func(nc net.Conn) {
+		<-leave
+		nc.Close()
+		closed <- struct{}{}
+	}))
+	a := waitingAttempt(g, "s0")
+	g.place(a)
+	up := (<-g.events).(connUp)
+	g.unwait(a)
+	if g.handle(up); len(a.be.idle) != 1 {
+		t.Fatal("not idle")
+	}
+	leave <- struct{}{}
+	<-closed
+	t.Cleanup(func() { close(leave) })
+	if g.place(a); a.conn != nil || len(a.be.waiting) != 1 {
+		t.Fatal("written to a connection that is closed")
+	}
+}
+
 // A connection that has been idle for long is not used, also where the time in the settings is shorter than between two
 // looks at the idle ones.
 func TestOldIdleConnectionIsNotUsed(t *testing.T) {
