--- a/logic/logic.go
+++ b/logic/logic.go
@@ -824,8 +824,8 @@
 	g.takeBack(r)
 }
 
-// takeBack gives the units of a request that is over to the block where nothing of it has left the gateway: its
-// client went while it waited, or its server while it waited for a connection.
+// takeBack gives the units of a request that is over to the block where nothing of it has left the gateway:
+// its client went while it waited, or its server while it waited for a connection.
 func (g *Gateway) takeBack(r *request) {
 	if r.final && r.outs == 0 && !r.ran && (r.charged || r.leased) {
 		r.cust.block += r.Units
