--- a/internal/ingress/crossing_test.go
+++ b/internal/ingress/crossing_test.go
@@ -226,6 +226,38 @@
 	}
 }
 
+// What a client that leaves had waiting in the queue is not sent on, though its going makes room: the next one in the queue
+// is another client's.
+func TestLeavesInTheQueue(t *testing.T) {
+	const of = 10
+	be := newBackend(t, func(_ int, args []string, _ net.Conn) string {
+		if strings.HasPrefix(args[2], "a") {
+			return ""
+		}
+		return served
+	})
+	list := fleetOf(be.addr)
+	addr, _ := startIngress(t, testConfig(registry(t, list, nil), list))
+	leaves, _ := dial(t, addr)
+	for i := range of {
+		io.WriteString(leaves, command("Q.ASK", "00000000b4d65521", fmt.Sprintf("a%015x", i), readFields))
+	}
+	for len(be.seen()) < 1 {
+		time.Sleep(time.Millisecond)
+	}
+	stays, in := dial(t, addr)
+	io.WriteString(stays, command("PING"))
+	line(t, in)
+	io.WriteString(stays, ask(1, readFields))
+	leaves.Close()
+	wantValue(t, in)
+	io.WriteString(stays, ask(2, readFields))
+	wantValue(t, in)
+	if n := len(be.seen()) - 2; n >= of || n < 1 {
+		t.Fatalf("%d of %d commands of the client that left were sent", n, of)
+	}
+}
+
 // The same in a pause after nonsense, however long it is.
 func TestLeavesInAPause(t *testing.T) {
 	far := make(chan net.Conn, 1)
