Cap the units that expired requests bring back at the block's share

Seen: takeBack added the units of a request that never left to the block without a bound. A block that had been filled again meanwhile (by totals, or by its share of the rate while it asks nobody) then held more than this gateway's share of the store: 3.5 units of 2, and 2.1 of 1, in TestUnitsThatComeBackFillTheBlockOnly with the cap taken out. What the block cannot take goes back to the store's picture, and with the next call to the counter; a sparse customer makes no such call, and loses it.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -312,11 +312,15 @@
 	c.refreshed = g.now
 	c.demand *= math.Exp(-dt)
 	if c.silent { // no totals come: live on the fair share of the rate
-		most := max(c.plan.Burst/float64(c.spread), g.set.MaxUnits, 1)
-		c.borrow(min(g.fills(c)*dt, max(0, most-c.block)))
+		c.borrow(min(g.fills(c)*dt, g.blockRoom(c)))
 	}
 }
 
+// blockRoom is what the block may take until it holds this gateway's share of the store, one request at least.
+func (g *Gateway) blockRoom(c *customer) float64 {
+	return max(0, max(c.plan.Burst/float64(c.spread), g.set.MaxUnits, 1)-c.block)
+}
+
 // borrow moves units from the store's picture to the block; the counter is told at the next call.
 func (c *customer) borrow(units float64) {
 	c.block += units
@@ -825,10 +829,13 @@
 }
 
 // takeBack gives the units of a request that is over to the block where nothing of it has left the gateway:
-// its client went while it waited, or its server while it waited for a connection.
+// its client went while it waited, or its server while it waited for a connection. What the block cannot take goes
+// back to the store: it has filled since, and old units on top would be more than the customer has.
 func (g *Gateway) takeBack(r *request) {
-	if r.final && r.outs == 0 && !r.ran && (r.charged || r.leased) {
-		r.cust.block += r.Units
+	if c := r.cust; r.final && r.outs == 0 && !r.ran && (r.charged || r.leased) {
+		excess := max(0, r.Units-g.blockRoom(c))
+		c.block += r.Units
+		c.borrow(-excess)
 		r.charged, r.leased = false, false
 	}
 }
