Tests of the stand-ins: versions, lines, silences, queues, falls and drains

They run on pipes and a driven clock; one test of each stand-in uses loopback sockets and counts only. Seen on the way: a drain and an attempt in the same instant of the driven clock were taken for late, so that late now means strictly after it.

--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -278,7 +278,7 @@
 		return nil
 	}
 	b.stats.Attempts++
-	late := !b.drained.IsZero() && !began.Before(b.drained)
+	late := !b.drained.IsZero() && began.After(b.drained)
 	if late {
 		b.stats.LateAfterDrain++
 	}
--- /dev/null
+++ b/internal/standin/backend_test.go
@@ -0,0 +1,396 @@
+package standin
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// startBackend serves a backend on pipes, and ends it with the test.
+func startBackend(t *testing.T, cfg BackendConfig) (*Backend, *PipeListener) {
+	t.Helper()
+	b, ln := NewBackend(cfg), NewPipeListener()
+	served := make(chan error, 1)
+	go func() { served <- b.Serve(ln) }()
+	t.Cleanup(func() {
+		b.Close()
+		if err := <-served; err != nil {
+			t.Error(err)
+		}
+	})
+	return b, ln
+}
+
+func takes(d time.Duration) func(*rand.Rand) time.Duration {
+	return func(*rand.Rand) time.Duration { return d }
+}
+
+const fields = "c=lookup,t=team,d=480,units=2,spread=3,first=1"
+
+func words(w ...string) string {
+	s := fmt.Sprintf("*%d\r\n", len(w))
+	for _, a := range w {
+		s += bulk(a)
+	}
+	return s
+}
+
+func id(n int) string { return fmt.Sprintf("%016x", n) }
+
+func lookup(n int) string { return words("Q.ASK", "00000000b4d65521", id(n), fields) }
+
+// attempt is a connection with one attempt, whose answers come word by word.
+func attempt(t *testing.T, ln *PipeListener, n int) *caller {
+	t.Helper()
+	c := newCaller(t, ln)
+	if _, err := io.WriteString(c, lookup(n)); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// served is "value" for an answer that is one, or else its first line; "" at the end of the connection.
+func served(c *caller) string {
+	first := <-c.lines
+	if first != "*3" {
+		return first
+	}
+	for range 4 { // the value's length, the value, no figures, no report
+		<-c.lines
+	}
+	return "value"
+}
+
+func TestBackendAnswers(t *testing.T) {
+	order := words("Q.DO", "00000000b4d65521", id(7), "c=order,t=team,d=0,k=5c0f,units=2.5,spread=3,first=1,r=1", "A\r\nB")
+	for _, c := range []struct{ in, want string }{
+		{lookup(7), "*3 $16 " + id(7) + " $-1 $-1"},
+		{order, "*3 $16 " + id(7) + " $-1 $-1"},
+		{words("CLIENT", "SETNAME", "x"), "+OK"},
+		{words("SELECT", "0"), "+OK"},
+		{words("HELLO", "3"), "-ERR unknown command"},
+		{words("PING"), "-ERR unknown command"},
+		{lookup(1) + words("Q.ASK"), "*3 $16 " + id(1) + " $-1 $-1 -SYNTAX"},
+		{"PING\r\n", "-SYNTAX"},
+		{"*0\r\n", "-SYNTAX"},
+		{"*-1\r\n", "-SYNTAX"},
+		{"*1\r\n$65537\r\n", "-SYNTAX"},
+		{"*1\r\n$4\r\nPINGxx", "-SYNTAX"},
+		{words("Q.ASK", "00000000b4d65521", id(7), fields, "BODY"), "-SYNTAX"},
+		{words("Q.DO", "00000000b4d65521", id(7), fields), "-SYNTAX"},
+		{words("Q.ASK", "b4d65521", id(7), fields), "-SYNTAX"},
+		{words("Q.ASK", "00000002b4d65521", id(7), fields), "-SYNTAX"},
+		{words("Q.ASK", "00000000b4d65521", "7", fields), "-SYNTAX"},
+		{words("Q.ASK", "00000000b4d65521", id(7), fields+",d=1"), "-SYNTAX"},
+		{words("Q.ASK", "00000000b4d65521", id(7), fields+",r"), "-SYNTAX"},
+		{words("Q.ASK", "00000000b4d65521", id(7), strings.Replace(fields, "d=480", "d=-1", 1)), "-SYNTAX"},
+		{words("Q.ASK", "00000000b4d65521", id(7), strings.Replace(fields, "d=480,", "", 1)), "-SYNTAX"},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			b, ln := startBackend(t, BackendConfig{})
+			nc := newCaller(t, ln)
+			if _, err := io.WriteString(nc, c.in); err != nil {
+				t.Fatal(err)
+			}
+			if got := strings.Join(arrived(nc.lines), " "); got != c.want {
+				t.Errorf("%q: %q, want %q", c.in, got, c.want)
+			}
+			odd := strings.HasSuffix(c.want, "-SYNTAX")
+			if _, err := nc.Write(nil); odd != (err != nil) {
+				t.Errorf("%q: closed %v, want %v", c.in, err, odd)
+			}
+			if s := b.Stats(); (s.Odd == 1) != odd || s.Served != strings.Count(c.want, "*3") || s.Conns != 1 {
+				t.Errorf("%q: %+v", c.in, s)
+			}
+		})
+	}
+}
+
+// ends is what came of attempts that were sent at once, each on a connection of its own: which, what and when.
+func ends(t *testing.T, ln *PipeListener, attempts int) []string {
+	t.Helper()
+	began, done := time.Now(), make(chan string)
+	for n := range attempts {
+		c := attempt(t, ln, n)
+		synctest.Wait()
+		go func() { done <- fmt.Sprint(n, " ", served(c), " ", time.Since(began).Round(time.Millisecond)) }()
+	}
+	var all []string
+	for range attempts {
+		all = append(all, <-done)
+	}
+	slices.Sort(all)
+	return all
+}
+
+// Attempts in work share the cores, as many wait as the queue has places, and the rest is turned away.
+func TestBackendCapacity(t *testing.T) {
+	second := takes(time.Second)
+	for name, c := range map[string]struct {
+		cfg  BackendConfig
+		want []string
+		most int
+	}{
+		"no bound":      {BackendConfig{Work: second}, []string{"0 value 1s", "1 value 1s", "2 value 1s"}, 3},
+		"shared core":   {BackendConfig{Work: second, Cores: 1}, []string{"0 value 3s", "1 value 3s", "2 value 3s"}, 3},
+		"enough cores":  {BackendConfig{Work: second, Cores: 3}, []string{"0 value 1s", "1 value 1s", "2 value 1s"}, 3},
+		"one waits":     {BackendConfig{Work: second, Cores: 2, Slots: 2, Queue: 1}, []string{"0 value 1s", "1 value 1s", "2 value 2s"}, 3},
+		"no place":      {BackendConfig{Work: second, Cores: 1, Slots: 1, Queue: 1}, []string{"0 value 1s", "1 value 2s", "2 -BUSY 0s"}, 2},
+		"no queue":      {BackendConfig{Work: second, Cores: 2, Slots: 1}, []string{"0 value 1s", "1 -BUSY 0s", "2 -BUSY 0s"}, 1},
+		"more on cores": {BackendConfig{Work: second, Cores: 1, Slots: 2, Queue: 9}, []string{"0 value 2s", "1 value 2s", "2 value 3s"}, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b, ln := startBackend(t, c.cfg)
+				if got := ends(t, ln, 3); !slices.Equal(got, c.want) {
+					t.Errorf("%q, want %q", got, c.want)
+				}
+				away := strings.Count(strings.Join(c.want, " "), "BUSY")
+				if s := b.Stats(); s.Served != 3-away || s.TurnedAway != away || s.Attempts != 3 || s.MostInFlight != c.most {
+					t.Errorf("%+v", s)
+				}
+			})
+		})
+	}
+}
+
+// One that comes later is slowed, and slows the others, only for the time that they share.
+func TestSharedCore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, ln := startBackend(t, BackendConfig{Work: takes(time.Second), Cores: 1})
+		began := time.Now()
+		first := attempt(t, ln, 1)
+		time.Sleep(500 * time.Millisecond)
+		second := attempt(t, ln, 2)
+		served(first)
+		if took := time.Since(began).Round(time.Millisecond); took != 1500*time.Millisecond {
+			t.Errorf("the first took %v", took)
+		}
+		served(second)
+		if took := time.Since(began).Round(time.Millisecond); took != 2*time.Second {
+			t.Errorf("the second ended after %v", took)
+		}
+	})
+}
+
+// Commands written one behind another start at once, and are answered in their order.
+func TestBackendPipeline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		works := []time.Duration{0, time.Second, 0} // the first draws are for the mean
+		draws := 0
+		_, ln := startBackend(t, BackendConfig{Reports: true, Slots: 2, Cores: 2, Work: func(*rand.Rand) time.Duration {
+			draws++
+			return works[max(0, draws-meanSamples)]
+		}})
+		nc := newCaller(t, ln)
+		if _, err := io.WriteString(nc, lookup(1)+lookup(2)); err != nil {
+			t.Fatal(err)
+		}
+		got := arrived(nc.lines)
+		if len(got) > 0 {
+			t.Fatalf("%q before the first one's end", got)
+		}
+		time.Sleep(time.Second + time.Millisecond)
+		answer := func(n int, report string) []string {
+			return []string{"*3", "$16", id(n), "$-1", fmt.Sprint("$", len(report)), report}
+		}
+		want := append(answer(1, "inflight=0,queue=0,util=0.00"), answer(2, "inflight=1,queue=0,util=0.50")...)
+		if got := arrived(nc.lines); !slices.Equal(got, want) {
+			t.Fatalf("%q, want %q", got, want)
+		}
+	})
+}
+
+// An attempt that waits leaves with its connection; one in work goes on.
+func TestGivenUpAttempts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, ln := startBackend(t, BackendConfig{Work: takes(time.Second), Cores: 1, Slots: 1, Queue: 9})
+		first, second, third := attempt(t, ln, 1), attempt(t, ln, 2), attempt(t, ln, 3)
+		synctest.Wait()
+		first.Close()
+		second.Close()
+		began := time.Now()
+		if got := served(third); got != "value" || time.Since(began).Round(time.Millisecond) != 2*time.Second {
+			t.Fatalf("%s after %v", got, time.Since(began))
+		}
+		if s := b.Stats(); s.Served != 2 || s.Attempts != 3 {
+			t.Fatalf("%+v", s)
+		}
+	})
+}
+
+// A cold backend is slow at first, and the less the warmer it is.
+func TestColdBackend(t *testing.T) {
+	for _, c := range []struct {
+		age, want time.Duration // of the backend when the attempt comes; what that takes
+	}{
+		// At 0.25 + 0.075/s an attempt of 1 s takes 2.82 s: the whole of 0.25x + 0.0375x² is 1.
+		{0, 2805 * time.Millisecond},
+		{5 * time.Second, 1505 * time.Millisecond}, // 0.625x + 0.0375x² is 1
+		{10 * time.Second, time.Second},
+		{time.Hour, time.Second},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			_, ln := startBackend(t, BackendConfig{Work: takes(time.Second), Cores: 4, ColdShare: 0.25,
+				WarmAfter: 10 * time.Second, Started: time.Now()})
+			time.Sleep(c.age)
+			began := time.Now()
+			served(attempt(t, ln, 1))
+			if took := time.Since(began); took < c.want-50*time.Millisecond || took > c.want+50*time.Millisecond {
+				t.Errorf("at %v: %v, want %v", c.age, took, c.want)
+			}
+		})
+	}
+}
+
+// A cold backend falls at the first attempt beyond what it bears then: it resets what is open and refuses what comes.
+func TestColdFall(t *testing.T) {
+	cold := BackendConfig{Work: takes(100 * time.Millisecond), Cores: 2, ColdShare: 0.5, WarmAfter: 1e6 * time.Hour,
+		FallMultiple: 1.6, FallSpan: time.Second} // 16 in a second
+	slack, warm, spaced := cold, cold, cold
+	slack.FallSlack = 2 // 16 + 2 x 4 + 2
+	warm.WarmAfter = time.Nanosecond
+	for name, c := range map[string]struct {
+		cfg   BackendConfig
+		pause time.Duration
+		bears int // 0: any number
+	}{
+		"cold":   {cold, 0, 16},
+		"slack":  {slack, 0, 26},
+		"spaced": {spaced, time.Second / 16, 0},
+		"warm":   {warm, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c.cfg.Started = time.Now()
+				time.Sleep(time.Millisecond)
+				b, ln := startBackend(t, c.cfg)
+				nc := newCaller(t, ln)
+				for n := 1; n <= 100; n++ {
+					if _, err := io.WriteString(nc, lookup(n)); err != nil {
+						t.Fatal(err)
+					}
+					synctest.Wait()
+					s := b.Stats()
+					if s.Attempts != n || s.Fell != (n == c.bears+1 && c.bears > 0) {
+						t.Fatalf("after %d: %+v", n, s)
+					}
+					if s.Fell {
+						break
+					}
+					time.Sleep(c.pause)
+				}
+				if c.bears == 0 {
+					return
+				}
+				if _, err := nc.Write([]byte("*")); err == nil {
+					t.Error("the connection stays")
+				}
+				if _, err := ln.Dial(t.Context()); !errors.Is(err, syscall.ECONNREFUSED) {
+					t.Errorf("a new connection: %v", err)
+				}
+			})
+		})
+	}
+}
+
+// A draining backend finishes what it has and turns away the rest; an attempt counts by its first byte.
+func TestDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, ln := startBackend(t, BackendConfig{Work: takes(time.Second), Cores: 1, Slots: 1, Queue: 9})
+		working, waiting := attempt(t, ln, 1), attempt(t, ln, 2)
+		begun := newCaller(t, ln)
+		begin, end := lookup(3)[:9], lookup(3)[9:]
+		io.WriteString(begun, begin)
+		time.Sleep(time.Millisecond)
+		b.Drain()
+		time.Sleep(time.Millisecond)
+		io.WriteString(begun, end)
+		late := attempt(t, ln, 4)
+		if got := served(late); got != "-BUSY" {
+			t.Errorf("the late one: %s", got)
+		}
+		for i, c := range []*caller{working, waiting, begun} {
+			if got := served(c); got != "value" {
+				t.Errorf("attempt %d: %s", i+1, got)
+			}
+		}
+		if s := b.Stats(); s.LateAfterDrain != 1 || s.Attempts != 4 || s.Served != 3 || s.TurnedAway != 1 {
+			t.Errorf("%+v", s)
+		}
+	})
+}
+
+// The work of a seed is the same each time, and another seed's is another.
+func TestWorkFollowsTheSeed(t *testing.T) {
+	draw := func(seed uint64) (got []string) {
+		synctest.Test(t, func(t *testing.T) {
+			_, ln := startBackend(t, BackendConfig{Seed: seed, Work: func(rng *rand.Rand) time.Duration {
+				return time.Duration(rng.ExpFloat64() * float64(time.Second))
+			}})
+			got = ends(t, ln, 4)
+		})
+		return got
+	}
+	one, again, other := draw(1), draw(1), draw(2)
+	if !slices.Equal(one, again) || slices.Equal(one, other) {
+		t.Fatalf("%v, %v, %v", one, again, other)
+	}
+}
+
+func TestBackendOnLoopback(t *testing.T) {
+	b, ln := NewBackend(BackendConfig{Cores: 2, Slots: 4, Queue: 1 << 10, Work: takes(100 * time.Microsecond)}), listen(t)
+	done := make(chan error, 1)
+	go func() { done <- b.Serve(ln) }()
+	const conns, requests = 4, 50
+	results := make(chan error, conns)
+	for c := range conns {
+		go func() { results <- askMany(ln.Addr().String(), c*requests, requests) }()
+	}
+	for range conns {
+		if err := <-results; err != nil {
+			t.Error(err)
+		}
+	}
+	if s := b.Stats(); s.Served != conns*requests || s.Conns != conns || s.TurnedAway != 0 || s.MostInFlight > conns {
+		t.Errorf("%+v", s)
+	}
+	b.Close()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	if nc, err := net.Dial("tcp", ln.Addr().String()); err == nil {
+		nc.Close()
+		t.Error("connected after the end")
+	}
+}
+
+// askMany asks one request after another on one connection, and wants the answer made for each.
+func askMany(addr string, first, requests int) error {
+	nc, err := net.Dial("tcp", addr)
+	if err != nil {
+		return err
+	}
+	defer nc.Close()
+	in := bufio.NewReader(nc)
+	for n := first; n < first+requests; n++ {
+		if _, err := io.WriteString(nc, lookup(n)); err != nil {
+			return err
+		}
+		want := "*3\r\n" + bulk(id(n)) + "$-1\r\n$-1\r\n"
+		got := make([]byte, len(want))
+		if _, err := io.ReadFull(in, got); err != nil || string(got) != want {
+			return fmt.Errorf("request %d: %q, %v", n, got, err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/counter_test.go
@@ -0,0 +1,353 @@
+package standin
+
+import (
+	"bufio"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// startCounter serves a counter on pipes, and ends it with the test.
+func startCounter(t *testing.T, cfg CounterConfig) (*Counter, *PipeListener) {
+	t.Helper()
+	c, ln := NewCounter(cfg), NewPipeListener()
+	served := make(chan error, 1)
+	go func() { served <- c.Serve(ln) }()
+	t.Cleanup(func() {
+		c.Close()
+		if err := <-served; err != nil {
+			t.Error(err)
+		}
+	})
+	return c, ln
+}
+
+// caller is a connection of a test; what comes on it is sorted into lines.
+type caller struct {
+	net.Conn
+	lines chan string // closed at the end of the connection
+}
+
+func newCaller(t *testing.T, ln *PipeListener) *caller {
+	t.Helper()
+	nc, err := ln.Dial(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nc.Close() })
+	c := &caller{nc, make(chan string, 1<<10)}
+	go func() {
+		defer close(c.lines)
+		for in := bufio.NewScanner(nc); in.Scan(); {
+			c.lines <- in.Text()
+		}
+	}()
+	return c
+}
+
+// say writes lines in one go.
+func (c *caller) say(t *testing.T, lines ...string) {
+	t.Helper()
+	if _, err := io.WriteString(c, strings.Join(lines, "\r\n")+"\r\n"); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestCounterCalls(t *testing.T) {
+	long := strings.Repeat("n", 64)
+	for _, c := range []struct{ call, want string }{
+		{"tally a 2.5 1000", "ok 2.5"},
+		{"tally a -4 1000", "ok -4"},
+		{"tally a 0 1000", "ok 0"},
+		{"tally a 1000000000 1000", "ok 1000000000"},
+		{"tally a 12345678.9 1000", "ok 12345680"}, // seven digits
+		{"tally a 0.000012345678 1000", "ok 0.00001234568"},
+		{"tally " + long + " 1 60001", "ok 1"},
+		{"ping", "pong"},
+		{"tally " + long + "n 1 1000", "error"},
+		{"tally a 1000000001 1000", "error"},
+		{"tally a 1e3 1000", "error"},
+		{"tally a Inf 1000", "error"},
+		{"tally a NaN 1000", "error"},
+		{"tally a 0x1 1000", "error"},
+		{"tally a 1 0", "error"},
+		{"tally a 1 1.5", "error"},
+		{"tally a 1", "error"},
+		{"tally  1 1000", "error"},
+		{"tally a b 1 1000", "error"},
+		{"count a 1 1000", "error"},
+		{"", "error"},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			counter, ln := startCounter(t, CounterConfig{})
+			nc := newCaller(t, ln)
+			nc.say(t, c.call)
+			if got := <-nc.lines; got != c.want {
+				t.Errorf("%q: %q, want %q", c.call, got, c.want)
+			}
+			synctest.Wait()
+			s, names := counter.Stats(), 0
+			if strings.HasPrefix(c.want, "ok") {
+				names = 1
+			}
+			if s.Names != names || s.Calls != names || s.BytesIn != int64(len(c.call)+2) || s.BytesOut != int64(len(c.want)+2) {
+				t.Errorf("%q: %+v", c.call, s)
+			}
+		})
+	}
+}
+
+// A name lives as long as its first call said; the next one after that begins anew.
+func TestNamesExpire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		counter, ln := startCounter(t, CounterConfig{})
+		nc := newCaller(t, ln)
+		for _, c := range []struct {
+			wait time.Duration
+			call string
+			want string
+		}{
+			{0, "tally a 1 1000", "ok 1"},
+			{999 * time.Millisecond, "tally a 1 60000", "ok 2"},
+			{time.Millisecond, "tally a 1 99999", "ok 1"},
+			{5 * time.Second, "tally a 1 1", "ok 2"},
+		} {
+			time.Sleep(c.wait)
+			nc.say(t, c.call)
+			if got := <-nc.lines; got != c.want {
+				t.Fatalf("%s: %q, want %q", c.call, got, c.want)
+			}
+		}
+		if got := counter.Total("a"); got != 2 {
+			t.Fatalf("total %v", got)
+		}
+		time.Sleep(55*time.Second - time.Millisecond)
+		if got := counter.Stats().Names; got != 1 {
+			t.Fatalf("%d names before 60 s", got)
+		}
+		time.Sleep(time.Millisecond)
+		if got := counter.Stats().Names; got != 0 || counter.Total("a") != 0 {
+			t.Fatalf("%d names after 60 s, total %v", got, counter.Total("a"))
+		}
+	})
+}
+
+// Names that nobody calls any more do not pile up.
+func TestExpiredNamesAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		counter := NewCounter(CounterConfig{})
+		for i := range 10 * fewNames {
+			counter.add(fmt.Sprint(i), 1, time.Millisecond)
+			time.Sleep(time.Millisecond)
+		}
+		if n := len(counter.names); n > fewNames {
+			t.Fatalf("%d names held", n)
+		}
+	})
+}
+
+// Answers of one connection come in the order of its calls, also where a later call's part is free and it is no call.
+func TestCounterAnswersInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, ln := startCounter(t, CounterConfig{CallsPerSecond: 2, Parts: 2})
+		slow, other := namesOfTwoParts()
+		nc := newCaller(t, ln)
+		began := time.Now()
+		nc.say(t, "tally "+slow+" 1 9000", "tally "+slow+" 1 9000", "tally "+slow+" 1 9000", "tally "+other+" 5 9000", "ping", "?")
+		for i, want := range []string{"ok 1", "ok 2", "ok 3", "ok 5", "pong", "error"} {
+			if got := <-nc.lines; got != want {
+				t.Fatalf("answer %d: %q, want %q", i, got, want)
+			}
+			if took := time.Since(began); took != time.Duration(min(i+1, 3))*time.Second {
+				t.Fatalf("answer %d after %v", i, took)
+			}
+		}
+	})
+}
+
+// namesOfTwoParts returns names that belong to the first and the second of two parts.
+func namesOfTwoParts() (first, second string) {
+	for i := 0; first == "" || second == ""; i++ {
+		name := fmt.Sprint("n", i)
+		h := fnv.New32a()
+		h.Write([]byte(name))
+		if h.Sum32()%2 == 0 {
+			first = name
+		} else {
+			second = name
+		}
+	}
+	return first, second
+}
+
+// Each part serves its share of the rate: where all ask for one name, that is all there is.
+func TestPartsShareTheRate(t *testing.T) {
+	first, second := namesOfTwoParts()
+	for _, c := range []struct {
+		names []string
+		want  time.Duration
+	}{{[]string{first, first, first, first}, 4 * time.Second}, {[]string{first, second, first, second}, 2 * time.Second}} {
+		synctest.Test(t, func(t *testing.T) {
+			counter, ln := startCounter(t, CounterConfig{CallsPerSecond: 2, Parts: 2})
+			began, callers := time.Now(), []*caller{}
+			for _, n := range c.names {
+				nc := newCaller(t, ln)
+				nc.say(t, "tally "+n+" 1 9000")
+				callers = append(callers, nc)
+			}
+			for _, nc := range callers {
+				<-nc.lines
+			}
+			if took := time.Since(began); took != c.want {
+				t.Errorf("%v: %v, want %v", c.names, took, c.want)
+			}
+			if s := counter.Stats(); s.LongestWait != c.want || s.Calls != 4 || s.Names != len(slices.Compact(slices.Sorted(slices.Values(c.names)))) {
+				t.Errorf("%v: %+v", c.names, s)
+			}
+		})
+	}
+}
+
+func TestCounterBusy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		counter, ln := startCounter(t, CounterConfig{CallsPerSecond: 1, MostWaiting: 2})
+		nc := newCaller(t, ln)
+		call := "tally a 1 9000"
+		nc.say(t, call, call, call, call, call)
+		for i, want := range []string{"ok 1", "ok 2", "ok 3", "busy", "busy"} {
+			if got := <-nc.lines; got != want {
+				t.Fatalf("answer %d: %q, want %q", i, got, want)
+			}
+		}
+		if s := counter.Stats(); s.Calls != 5 || s.Busy != 2 || s.MostWaiting != 2 || counter.Total("a") != 3 {
+			t.Fatalf("%+v, total %v", s, counter.Total("a"))
+		}
+	})
+}
+
+// A silence adds nothing that waits, and stays with the connections that were open or came; new ones work after it.
+func TestCounterSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		counter, ln := startCounter(t, CounterConfig{CallsPerSecond: 1})
+		old := newCaller(t, ln)
+		old.say(t, "tally a 1 60000", "tally a 1 60000", "tally a 1 60000")
+		if got := <-old.lines; got != "ok 1" {
+			t.Fatalf("%q", got)
+		}
+		counter.SetState(Silent)
+		during := newCaller(t, ln)
+		during.say(t, "tally a 1 60000", "ping")
+		time.Sleep(5 * time.Second)
+		counter.SetState(Up)
+		nc := newCaller(t, ln)
+		nc.say(t, "tally a 1 60000")
+		if got := <-nc.lines; got != "ok 2" {
+			t.Fatalf("after the return: %q", got)
+		}
+		old.say(t, "tally a 1 60000")
+		time.Sleep(30 * time.Second)
+		if len(old.lines) > 0 || len(during.lines) > 0 || counter.Total("a") != 2 {
+			t.Fatalf("%d, %d answers of the silence; total %v", len(old.lines), len(during.lines), counter.Total("a"))
+		}
+		counter.SetState(Down)
+		for _, c := range []*caller{old, during, nc, newCaller(t, ln)} {
+			if got, open := <-c.lines; open {
+				t.Fatalf("while down: %q", got)
+			}
+		}
+		counter.SetState(Up)
+		nc = newCaller(t, ln)
+		nc.say(t, "tally a 1 60000")
+		if got := <-nc.lines; got != "ok 3" {
+			t.Fatalf("up again: %q", got)
+		}
+	})
+}
+
+func TestCounterConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		counter, ln := startCounter(t, CounterConfig{MostConns: 2, CallsPerSecond: 0.05})
+		first, second := newCaller(t, ln), newCaller(t, ln)
+		synctest.Wait()
+		third := newCaller(t, ln)
+		if got, open := <-third.lines; open {
+			t.Fatalf("the third says %q", got)
+		}
+		first.Close()
+		synctest.Wait()
+		fourth := newCaller(t, ln)
+		fourth.say(t, "ping")
+		if got := <-fourth.lines; got != "pong" {
+			t.Fatalf("in place of one that has gone: %q", got)
+		}
+		began := time.Now()
+		second.say(t, "tally a 1 60000") // waits for longer than an idle connection may
+		if _, open := <-fourth.lines; open || time.Since(began) != 10*time.Second {
+			t.Fatalf("the idle one: open %v after %v", open, time.Since(began))
+		}
+		if got := <-second.lines; got != "ok 1" {
+			t.Fatalf("the one that waits: %q", got)
+		}
+		if got := counter.Stats().Conns; got != 4 {
+			t.Fatalf("%d connections", got)
+		}
+	})
+}
+
+func TestCounterOnLoopback(t *testing.T) {
+	counter, ln := NewCounter(CounterConfig{CallsPerSecond: 1e5, Parts: 4}), listen(t)
+	served := make(chan error, 1)
+	go func() { served <- counter.Serve(ln) }()
+	const callers, calls = 8, 200
+	done := make(chan error, callers)
+	for range callers {
+		go func() { done <- addMany(ln.Addr().String(), calls) }()
+	}
+	for range callers {
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	}
+	if got := counter.Total("a"); got != callers*calls {
+		t.Errorf("total %v, want %d", got, callers*calls)
+	}
+	counter.Close()
+	if err := <-served; err != nil {
+		t.Error(err)
+	}
+	if nc, err := net.Dial("tcp", ln.Addr().String()); err == nil {
+		nc.Close()
+		t.Error("connected after the end")
+	}
+}
+
+// addMany adds one many times, one call behind another, and wants rising totals.
+func addMany(addr string, calls int) error {
+	nc, err := net.Dial("tcp", addr)
+	if err != nil {
+		return err
+	}
+	defer nc.Close()
+	if _, err := io.WriteString(nc, strings.Repeat("tally a 1 60000\r\n", calls)); err != nil {
+		return err
+	}
+	in, last := bufio.NewReader(nc), 0.0
+	for range calls {
+		text, err := in.ReadString('\n')
+		if err != nil {
+			return err
+		}
+		var total float64
+		if _, err := fmt.Sscanf(text, "ok %g\r\n", &total); err != nil || total <= last {
+			return fmt.Errorf("%q after %v: %v", text, last, err)
+		}
+		last = total
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/discovery_test.go
@@ -0,0 +1,435 @@
+package standin
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// registry is a Discovery on pipes, with a client of its own.
+type registry struct {
+	*Discovery
+	client *http.Client
+}
+
+// newRegistry serves a list of the backends a and b, as version 1.
+func newRegistry(t *testing.T, cfg DiscoveryConfig) *registry {
+	t.Helper()
+	d, ln := NewDiscovery(cfg), NewPipeListener()
+	d.SetList([]Target{{UID: "a", State: "SERVING"}, {UID: "b", State: "SERVING"}})
+	served := make(chan error, 1)
+	go func() { served <- d.Serve(ln) }()
+	transport := &http.Transport{DisableKeepAlives: true,
+		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) { return ln.Dial(ctx) }}
+	t.Cleanup(func() {
+		if err := errors.Join(d.Close(), <-served); err != nil {
+			t.Error(err)
+		}
+	})
+	return &registry{d, &http.Client{Transport: transport}}
+}
+
+// get opens a call; query is empty for a plain one.
+func (r *registry) get(ctx context.Context, query string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://discovery"+registryPath+query, nil)
+	if err != nil {
+		return nil, err
+	}
+	return r.client.Do(req)
+}
+
+// watch opens a watch; what it brings comes line by line, and the channel ends with it.
+func (r *registry) watch(t *testing.T, since int64) <-chan string {
+	t.Helper()
+	ctx, stop := context.WithCancel(t.Context())
+	t.Cleanup(stop)
+	resp, err := r.get(ctx, fmt.Sprintf("?follow=1&since=%d", since))
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines := make(chan string, 1<<10)
+	go func() {
+		defer close(lines)
+		defer resp.Body.Close()
+		for in := bufio.NewScanner(resp.Body); in.Scan(); {
+			lines <- in.Text()
+		}
+	}()
+	return lines
+}
+
+// told says what an object tells: its version, whether it is the whole list, and the entries.
+func told(t *testing.T, object string) string {
+	t.Helper()
+	var l list
+	if err := json.Unmarshal([]byte(object), &l); err != nil {
+		t.Fatalf("%q: %v", object, err)
+	}
+	s := fmt.Sprint(l.Rev, l.All)
+	for _, e := range l.Targets {
+		s += " " + e.UID + ":" + e.State
+	}
+	return s
+}
+
+// arrived is all that has come by now.
+func arrived(lines <-chan string) (got []string) {
+	synctest.Wait()
+	for len(lines) > 0 {
+		got = append(got, <-lines)
+	}
+	return got
+}
+
+func TestWatchFromAVersion(t *testing.T) {
+	for _, c := range []struct {
+		keep  int
+		since int64
+		want  string
+	}{
+		{0, 4, "4 false"},
+		{0, 3, "4 false c:SERVING"},
+		{0, 2, "4 false a:DELETED c:SERVING"},
+		{0, 1, "4 false a:DELETED c:SERVING"}, // it drained first: one entry each, the latest
+		{0, 0, "4 true b:SERVING c:SERVING"},
+		{0, 5, "4 true b:SERVING c:SERVING"}, // of another life of the registry
+		{1, 4, "4 false"},
+		{1, 3, "4 false c:SERVING"},
+		{1, 2, "4 true b:SERVING c:SERVING"},
+		{2, 2, "4 false a:DELETED c:SERVING"},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRegistry(t, DiscoveryConfig{Keep: c.keep})
+			r.Change(Target{UID: "a", State: "DRAINING"})
+			r.Change(Target{UID: "a", State: "DELETED"})
+			if rev := r.Change(Target{UID: "c", State: "SERVING"}); rev != 4 {
+				t.Fatalf("version %d", rev)
+			}
+			if got := told(t, <-r.watch(t, c.since)); got != c.want {
+				t.Errorf("keep %d, since %d: %s, want %s", c.keep, c.since, got, c.want)
+			}
+		})
+	}
+}
+
+// An open watch tells each change as it comes, and an empty line every 2 s where nothing does.
+func TestOpenWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegistry(t, DiscoveryConfig{})
+		lines := r.watch(t, 1)
+		if got := told(t, <-lines); got != "1 false" {
+			t.Fatalf("first %s", got)
+		}
+		time.Sleep(7 * time.Second)
+		if got := arrived(lines); !slices.Equal(got, []string{"", "", ""}) {
+			t.Fatalf("in 7 s: %q", got)
+		}
+		r.Change(Target{UID: "b", State: "DRAINING"}, Target{UID: "c", State: "SERVING"})
+		if got := told(t, <-lines); got != "2 false b:DRAINING c:SERVING" {
+			t.Fatalf("change %s", got)
+		}
+		r.SetList([]Target{{UID: "d", State: "SERVING"}})
+		if got := told(t, <-lines); got != "3 true d:SERVING" {
+			t.Fatalf("list %s", got)
+		}
+		synctest.Wait()
+		if s := r.Stats(); s.Objects != 3 || s.Watches != 1 || s.OpenWatches != 1 {
+			t.Fatalf("%+v", s)
+		}
+	})
+}
+
+func TestPlainCall(t *testing.T) {
+	for _, c := range []struct {
+		indent bool
+		lines  int
+	}{{false, 1}, {true, 26}} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRegistry(t, DiscoveryConfig{Indent: c.indent})
+			resp, err := r.get(t.Context(), "")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Body.Close()
+			body, err := io.ReadAll(resp.Body)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := told(t, string(body)); got != "1 true a:SERVING b:SERVING" {
+				t.Errorf("list %s", got)
+			}
+			if got := strings.Count(string(body), "\n"); got != c.lines {
+				t.Errorf("%d lines, want %d", got, c.lines)
+			}
+			synctest.Wait()
+			if s := r.Stats(); s.Calls != 1 || s.Lists != 1 || s.Bytes != int64(len(body)) {
+				t.Errorf("%+v", s)
+			}
+		})
+	}
+}
+
+func TestOddCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegistry(t, DiscoveryConfig{})
+		for query, want := range map[string]int{"/x": http.StatusNotFound, "?follow=1&since=x": http.StatusBadRequest} {
+			resp, err := r.get(t.Context(), query)
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp.Body.Close()
+			if resp.StatusCode != want {
+				t.Errorf("%s: %s", query, resp.Status)
+			}
+		}
+	})
+}
+
+// ended is how and when a call of a test ended.
+type ended struct {
+	call   int
+	status string
+	after  time.Duration
+}
+
+// callAll opens calls a millisecond apart, each with its own time, and returns their ends in order.
+func (r *registry) callAll(t *testing.T, times ...time.Duration) (ends []ended) {
+	t.Helper()
+	began, done := time.Now(), make(chan ended)
+	for i, limit := range times {
+		time.Sleep(time.Millisecond)
+		go func() {
+			ctx, stop := context.WithTimeout(t.Context(), limit)
+			defer stop()
+			resp, err := r.get(ctx, "")
+			e := ended{i, "no answer", time.Since(began).Truncate(100 * time.Millisecond)}
+			if err == nil {
+				e.status = resp.Status
+				resp.Body.Close()
+			}
+			done <- e
+		}()
+	}
+	for range times {
+		ends = append(ends, <-done)
+	}
+	return ends
+}
+
+// Calls have their turns in the order they came, whatever their callers do meanwhile.
+func TestLine(t *testing.T) {
+	const long, short, s = time.Minute, 500 * time.Millisecond, time.Second
+	for name, c := range map[string]struct {
+		cfg  DiscoveryConfig
+		call []time.Duration
+		want []ended
+		most int
+	}{
+		"no bound": {DiscoveryConfig{}, []time.Duration{long, long},
+			[]ended{{0, "200 OK", 0}, {1, "200 OK", 0}}, 0},
+		"in order": {DiscoveryConfig{CallsPerSecond: 1}, []time.Duration{long, long, long},
+			[]ended{{0, "200 OK", s}, {1, "200 OK", 2 * s}, {2, "200 OK", 3 * s}}, 2},
+		"left ones cost": {DiscoveryConfig{CallsPerSecond: 1}, []time.Duration{long, short, short, long},
+			[]ended{{1, "no answer", short}, {2, "no answer", short}, {0, "200 OK", s}, {3, "200 OK", 4 * s}}, 3},
+		"left ones leave": {DiscoveryConfig{CallsPerSecond: 1, DropsLeft: true},
+			[]time.Duration{long, short, short, long},
+			[]ended{{1, "no answer", short}, {2, "no answer", short}, {0, "200 OK", s}, {3, "200 OK", 2 * s}}, 3},
+		"patience": {DiscoveryConfig{CallsPerSecond: 1, Patience: 2500 * time.Millisecond},
+			[]time.Duration{long, long, long, long}, // the third one's turn has begun
+			[]ended{{0, "200 OK", s}, {1, "200 OK", 2 * s}, {3, "503 Service Unavailable", 2500 * time.Millisecond},
+				{2, "200 OK", 3 * s}}, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRegistry(t, c.cfg)
+				if got := r.callAll(t, c.call...); !slices.Equal(got, c.want) {
+					t.Errorf("%v, want %v", got, c.want)
+				}
+				if s := r.Stats(); s.MostWaiting != c.most || s.Calls != len(c.call) {
+					t.Errorf("%+v", s)
+				}
+			})
+		})
+	}
+}
+
+// A silence says nothing to what is open or comes, and stays with it after the return; new calls are told what it kept.
+func TestSilenceAndReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegistry(t, DiscoveryConfig{CallsPerSecond: 10})
+		old := r.watch(t, 1)
+		<-old
+		r.SetState(Silent)
+		r.Change(Target{UID: "c", State: "SERVING"})
+		during := make(chan ended, 1)
+		go func() { during <- r.callAll(t, time.Hour)[0] }()
+		time.Sleep(10 * time.Second)
+		r.SetState(Up)
+		if got := told(t, <-r.watch(t, 1)); got != "2 false c:SERVING" {
+			t.Fatalf("after the return: %s", got)
+		}
+		r.Change(Target{UID: "d", State: "SERVING"})
+		time.Sleep(time.Minute)
+		if got := arrived(old); len(got) > 0 {
+			t.Fatalf("the silent watch says %q", got)
+		}
+		if s := r.Stats(); s.OpenWatches != 2 || len(during) > 0 {
+			t.Fatalf("%+v; %d calls of the silence ended", s, len(during))
+		}
+		r.SetState(Down)
+		if _, open := <-old; open {
+			t.Fatal("the silent watch outlives its discovery")
+		}
+		if e := <-during; e.status != "no answer" {
+			t.Fatalf("call of the silence: %+v", e)
+		}
+	})
+}
+
+// The calls that wait in line when a silence begins are forgotten, and take no turn after it.
+func TestSilenceEmptiesTheLine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegistry(t, DiscoveryConfig{CallsPerSecond: 1})
+		lost := make(chan []ended, 1)
+		go func() { lost <- r.callAll(t, time.Hour, time.Hour, time.Hour) }()
+		time.Sleep(500 * time.Millisecond)
+		r.SetState(Silent)
+		time.Sleep(10 * time.Second)
+		r.SetState(Up)
+		if got := r.callAll(t, time.Hour); got[0] != (ended{0, "200 OK", time.Second}) {
+			t.Fatalf("after the return: %v", got)
+		}
+		r.SetState(Down)
+		for _, e := range <-lost {
+			if e.status != "no answer" {
+				t.Fatalf("%+v", e)
+			}
+		}
+	})
+}
+
+func TestDownAndUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegistry(t, DiscoveryConfig{})
+		lines := r.watch(t, 1)
+		<-lines
+		r.SetState(Down)
+		if got, open := <-lines; open {
+			t.Fatalf("the watch says %q", got)
+		}
+		if got := r.callAll(t, time.Hour); got[0] != (ended{0, "no answer", 0}) {
+			t.Fatalf("while down: %v", got)
+		}
+		synctest.Wait()
+		if s := r.Stats(); s.Failed != 2 || s.OpenWatches != 0 || s.Watches != 1 {
+			t.Fatalf("%+v", s)
+		}
+		r.SetState(Up)
+		if got := r.callAll(t, time.Hour); got[0].status != "200 OK" {
+			t.Fatalf("after: %v", got)
+		}
+	})
+}
+
+// Watches that are broken end, those that are hushed stay open and silent; new ones work either way.
+func TestWatchesEnd(t *testing.T) {
+	for name, c := range map[string]struct {
+		end  func(*Discovery)
+		open int
+	}{"broken": {(*Discovery).BreakWatches, 1}, "hushed": {(*Discovery).HushWatches, 2}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRegistry(t, DiscoveryConfig{})
+				old := r.watch(t, 1)
+				<-old
+				c.end(r.Discovery)
+				r.Change(Target{UID: "c", State: "SERVING"})
+				lines := r.watch(t, 1)
+				if got := told(t, <-lines); got != "2 false c:SERVING" {
+					t.Fatalf("a new watch: %s", got)
+				}
+				time.Sleep(time.Minute)
+				if got := arrived(old); len(got) > 0 {
+					t.Fatalf("the old one says %q", got)
+				}
+				if got := arrived(lines); len(got) < 29 {
+					t.Fatalf("the new one: %d lines in a minute", len(got))
+				}
+				if s := r.Stats(); s.OpenWatches != c.open || s.Failed != 2-c.open {
+					t.Fatalf("%+v", s)
+				}
+			})
+		})
+	}
+}
+
+// A watch whose caller goes is no longer open.
+func TestWatchIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegistry(t, DiscoveryConfig{})
+		for i := range 3 {
+			ctx, leave := context.WithCancel(t.Context())
+			resp, err := r.get(ctx, "?follow=1")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if i == 1 {
+				r.SetState(Silent)
+				synctest.Wait()
+			}
+			leave()
+			resp.Body.Close()
+			synctest.Wait()
+			if s := r.Stats(); s.OpenWatches != 0 || s.Watches != i+1 {
+				t.Fatalf("watch %d: %+v", i, s)
+			}
+			r.SetState(Up)
+		}
+	})
+}
+
+// On sockets too.
+func TestDiscoveryOnLoopback(t *testing.T) {
+	d, ln := NewDiscovery(DiscoveryConfig{CallsPerSecond: 1000}), listen(t)
+	served := make(chan error, 1)
+	go func() { served <- d.Serve(ln) }()
+	d.SetList([]Target{{UID: "a"}})
+	resp, err := http.Get("http://" + ln.Addr().String() + registryPath + "?follow=1&since=0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	in := bufio.NewReader(resp.Body)
+	first, err := in.ReadString('\n')
+	if err != nil || told(t, first) != "1 true a:" {
+		t.Fatalf("%q, %v", first, err)
+	}
+	if err := d.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if rest, err := io.ReadAll(in); err == nil {
+		t.Fatalf("the watch ends well with %q", rest)
+	}
+	if err := <-served; err != nil {
+		t.Fatal(err)
+	}
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ln
+}
