Tell every ingress of a change 6 s after discovery had it, also after failed calls

Causes, in paceOf and follow: pauses that grow with the fleet to 16 s, a call that hangs for 4 s before the pause, a silence that is noticed after 4.3 s, starts spread over up to 4 s. Ruled out: the service being overrun; its line was 1.9 s at the worst.

Where lists are asked for, calls now begin at most 1.5 s apart. A call that is not answered keeps its place in the line, and another is made beside it (hedged): giving up early would lose the place, and waiting alone loses a call that went into the silence. Starts are spread over up to 1.5 s, moves over up to 0.5 s, silence is noticed after 3 s.

--- a/internal/ingress/crossing_test.go
+++ b/internal/ingress/crossing_test.go
@@ -166,7 +166,8 @@
 }
 
 // What discovery may still tell counts within its clocks, for any size of fleet: where lists are pushed within the second
-// after discovery's return, where they are asked for within the second after the clock of silence.
+// after discovery's return, where they are asked for within the clock, a failed call on the way or not. What is left of the
+// clock is for the answer: at 100 calls a second 300 ingresses that ask over askEvery wait for as long at most.
 func TestPaceKeepsTheClocks(t *testing.T) {
 	for _, n := range []int{1, 8, 9, 80, 300, 3000} {
 		told, asked := paceOf(false, n, true), paceOf(true, n, true)
@@ -176,11 +177,17 @@
 		if told.silence <= lineEvery || asked.silence <= lineEvery {
 			t.Errorf("%d: silence after %v and %v, a line comes every %v", n, told.silence, asked.silence, lineEvery)
 		}
-		if again := asked.silence + asked.first; again > toldClock {
-			t.Errorf("%d asking: a silent watch is opened anew after %v", n, again)
-		}
-		if asked.spread > toldClock-2*time.Second {
-			t.Errorf("%d asking: starts are spread over %v", n, asked.spread)
+		again := max(asked.first, asked.longest, asked.hedge) // from the beginning of a call to that of the next
+		for name, left := range map[string]time.Duration{
+			"silence":       toldClock - asked.silence - asked.first,
+			"start":         toldClock - asked.spread - again,
+			"return":        toldClock - again - again,
+			"slow answer":   toldClock - again - asked.answer + askEvery,
+			"configuration": moveClock - min(asked.spread, moveSpread) - again,
+		} {
+			if left < askEvery {
+				t.Errorf("%d asking, %s: %v of the clock are left for the answer", n, name, left)
+			}
 		}
 	}
 }
--- a/internal/ingress/discovery.go
+++ b/internal/ingress/discovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -21,7 +22,8 @@
 
 const (
 	lineEvery = 2 * time.Second // a watch brings an empty line so often where nothing changes
-	toldClock = 6 * time.Second // what a silent watch misses counts as told so long after it fell silent
+	toldClock = 6 * time.Second // what discovery has and could tell counts as told so much later, also after a failed call
+	moveClock = 4 * time.Second // what discovery has counts as told so long after a move
 
 	// Where lists are pushed, what the agent has counts as told, and drains have a second from then on: the limit of a
 	// call and the longest pause after it stay within that second together.
@@ -30,20 +32,21 @@
 	firstPause   = 100 * time.Millisecond // before discovery is asked again; doubled each time
 	agentPause   = 400 * time.Millisecond // what that grows to
 
-	// Where discovery has to be asked, a call may have to wait for its turn there.
+	// Where discovery has to be asked, a call may have to wait for its turn there, and whoever gives it up loses its place.
+	// So one that is not answered stays, and others are made beside it (hedged): a call that was lost while discovery was
+	// away costs askEvery only. Silence, a pause, a failed call and an answer fit into toldClock together.
 	callTime    = 4 * time.Second
-	callSilence = 2*lineEvery + 300*time.Millisecond // two lines: asking again is paid for
-	callPause   = 1500 * time.Millisecond            // the first pause at most: an answer in time for the clock follows it
-	longestWait = 2 * time.Second                    // what the pauses of a small fleet grow to
-	maxList     = 1 << 20
-	maxHeader   = 16 << 10
+	callSilence = lineEvery + time.Second
+	askEvery    = 1500 * time.Millisecond // from the beginning of a call that brought nothing to that of the next, at most
+	moveSpread  = 500 * time.Millisecond  // over which a fleet that moves asks, at most
+
+	maxList   = 1 << 20
+	maxHeader = 16 << 10
 
 	// All ingresses then share one service of a fixed capacity, and calls that have waited for long fail: a fleet that
 	// starts, or loses its watches, at one moment must not ask at one moment.
-	askSpread    = 50 * time.Millisecond // for each ingress of the fleet: the time over which all of them ask
-	longSpread   = 4 * time.Second       // at most: what was listed before a start counts as told by toldClock
+	askSpread    = 50 * time.Millisecond // for each ingress of the fleet: the time over which all of them ask, up to askEvery
 	fewIngresses = 8                     // so few may ask at one moment
-	spreadsLeft  = 4                     // times the spread, the longest pause grows to
 )
 
 // pace says how discovery is called: how long a call may take, how long a watch may say nothing, and the pauses.
@@ -51,7 +54,8 @@
 	spread         time.Duration // over which the starts of a fleet are spread; 0: no need to
 	answer         time.Duration
 	silence        time.Duration
-	first, longest time.Duration
+	first, longest time.Duration // pauses after a call
+	hedge          time.Duration // a call without an answer for so long gets another one beside it; 0: none
 }
 
 // paceOf is the pace for a fleet of so many ingresses that is told, or asks.
@@ -59,10 +63,10 @@
 	if !asked {
 		return pace{answer: agentTime, silence: agentSilence, first: firstPause, longest: agentPause}
 	}
-	p := pace{answer: callTime, silence: callSilence, first: firstPause, longest: longestWait}
+	p := pace{answer: callTime, silence: callSilence, first: firstPause, longest: askEvery, hedge: askEvery}
 	if ingresses > fewIngresses && known {
-		p.spread = min(askSpread*time.Duration(ingresses), longSpread)
-		p.first, p.longest = min(max(firstPause, p.spread/2), callPause), max(longestWait, spreadsLeft*p.spread)
+		p.spread = min(askSpread*time.Duration(ingresses), askEvery)
+		p.first = p.spread
 	}
 	return p
 }
@@ -111,12 +115,14 @@
 	moves  latest
 	post   func(event)
 	pace   pace
+	rng    *rand.Rand    // of the goroutine that asks
 	first  chan struct{} // closed after the first list, or when that failed
 	log    *slog.Logger
 }
 
 func newDiscovery(addr string, rev int64, p pace, post func(event), log *slog.Logger) *discovery {
 	return &discovery{url: listURL(addr), rev: rev, pace: p, moves: newLatest(), post: post, log: log,
+		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		client: &http.Client{Transport: &http.Transport{DisableCompression: true, MaxResponseHeaderBytes: maxHeader},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }},
 		first: make(chan struct{})}
@@ -151,15 +157,16 @@
 }
 
 // begin brings a list to start from. Where asking is dear the one that the ingress has will do until the watch brings
-// what has changed since; the watches of a fleet that starts begin spread out.
+// what has changed since; the watches of a fleet that starts, or moves, begin spread out.
 func (d *discovery) begin(ctx context.Context, listed func()) {
-	if d.pace.spread > 0 {
+	if spread := d.pace.spread; spread > 0 {
 		select {
 		case <-d.first: // not a start, but a move
+			spread = min(spread, moveSpread)
 		default:
 			listed()
-			wait(ctx, rand.N(d.pace.spread))
 		}
+		wait(ctx, d.upTo(spread))
 		return
 	}
 	if err := d.list(ctx); err != nil && ctx.Err() == nil {
@@ -168,6 +175,11 @@
 	listed()
 }
 
+// upTo is a random time below most.
+func (d *discovery) upTo(most time.Duration) time.Duration {
+	return time.Duration(d.rng.Int64N(int64(max(most, 1))))
+}
+
 // follow watches at one address. Whatever breaks the watch, it resumes from the version held.
 func (d *discovery) follow(ctx context.Context) {
 	for pause := d.pace.first; ctx.Err() == nil; pause = min(2*pause, d.pace.longest) {
@@ -180,7 +192,7 @@
 		if time.Since(began) >= d.pace.silence {
 			pause = d.pace.first
 		}
-		wait(ctx, pause/4+rand.N(pause*3/4))
+		wait(ctx, pause/4+d.upTo(pause*3/4))
 	}
 }
 
@@ -194,7 +206,7 @@
 
 // list brings the whole list once.
 func (d *discovery) list(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, d.pace.answer)
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(d.pace.hedge, d.pace.answer)) // the watch brings it too
 	defer cancel()
 	body, err := d.get(ctx, d.url)
 	if err != nil {
@@ -206,16 +218,13 @@
 
 // watch follows the changes; it always ends with an error.
 func (d *discovery) watch(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	silence := time.AfterFunc(d.pace.answer, cancel)
-	defer silence.Stop()
-	body, err := d.get(ctx, fmt.Sprintf("%s?follow=1&since=%d", d.url, d.rev))
+	w, err := d.open(ctx)
 	if err != nil {
 		return err
 	}
-	defer body.Close()
-	in := &stream{body: body, heard: func() { silence.Reset(d.pace.silence) }}
+	defer w.close()
+	defer w.body.Close()
+	in := &stream{body: w.body, heard: func() { w.limit.Reset(d.pace.silence) }}
 	for objects := json.NewDecoder(in); ; {
 		in.heard()
 		in.inside, in.left = false, maxList
@@ -225,6 +234,74 @@
 	}
 }
 
+// watchCall is a call for a watch; limit ends it, unless it is reset in time.
+type watchCall struct {
+	end   context.CancelFunc
+	limit *time.Timer
+	body  io.ReadCloser // of one that is answered
+	err   error
+}
+
+func (w *watchCall) close() {
+	w.limit.Stop()
+	w.end()
+}
+
+// open calls for a watch until one call is answered, which may be a later one than the first; the others are given up
+// then. It fails where all calls that are out have failed.
+func (d *discovery) open(ctx context.Context) (*watchCall, error) {
+	answers, over := make(chan *watchCall), make(chan struct{})
+	calls := map[*watchCall]bool{d.call(ctx, answers, over): true}
+	defer func() {
+		close(over)
+		for w := range calls {
+			w.close()
+		}
+	}()
+	for hedge := d.hedge(); ; {
+		select {
+		case w := <-answers:
+			delete(calls, w)
+			if w.err == nil {
+				return w, nil
+			}
+			w.close()
+			if len(calls) == 0 {
+				return nil, w.err
+			}
+		case <-hedge:
+			calls[d.call(ctx, answers, over)] = true
+			hedge = d.hedge()
+		}
+	}
+}
+
+// hedge tells when another call is made beside those that wait: never where it is nil.
+func (d *discovery) hedge() <-chan time.Time {
+	if d.pace.hedge <= 0 {
+		return nil
+	}
+	return time.After(d.pace.hedge*3/4 + d.upTo(d.pace.hedge/4))
+}
+
+// call begins a call that comes on answers when it is answered or has failed, unless all is over by then.
+func (d *discovery) call(ctx context.Context, answers chan<- *watchCall, over <-chan struct{}) *watchCall {
+	ctx, end := context.WithCancel(ctx)
+	w := &watchCall{end: end, limit: time.AfterFunc(d.pace.answer, end)}
+	url := fmt.Sprintf("%s?follow=1&since=%d", d.url, d.rev)
+	go func() {
+		w.body, w.err = d.get(ctx, url)
+		select {
+		case answers <- w:
+		case <-over:
+			if w.err == nil {
+				w.body.Close()
+			}
+		}
+	}()
+	return w
+}
+
 // stream is what a watch brings: objects, which may stand on several lines, and empty lines between them. An object
 // that has begun must end before the watch counts as silent, and within its bytes.
 type stream struct {
--- a/internal/ingress/discovery_test.go
+++ b/internal/ingress/discovery_test.go
@@ -54,14 +54,16 @@
 	}
 }
 
-// The calls of a fleet are spread over a time that grows with it; a small one, or one that is told, asks at once.
+// The calls of a fleet are spread over a time that grows with it, as far as the clock allows; a small one, or one that is
+// told, asks at once.
 func TestSpreadOfDiscoveryGrowsWithTheFleet(t *testing.T) {
 	for _, c := range []struct {
 		ingresses int
 		asked     bool
 		known     int
 		want      time.Duration
-	}{{4, true, 1, 0}, {80, false, 1, 0}, {80, true, 0, 0}, {80, true, 1, 80 * askSpread}} {
+	}{{4, true, 1, 0}, {80, false, 1, 0}, {80, true, 0, 0}, {9, true, 1, 9 * askSpread}, {20, true, 1, 20 * askSpread},
+		{80, true, 1, askEvery}, {300, true, 1, askEvery}} {
 		cfg := Config{Listen: "127.0.0.1:0", Discovery: "127.0.0.1:1", Sockets: 256,
 			Known: Fleet{Targets: make([]Target, c.known)},
 			Settings: logic.Settings{Gateways: c.ingresses, AskForFleet: c.asked,
--- a/internal/ingress/gateway.go
+++ b/internal/ingress/gateway.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"log/slog"
 	"math"
+	"math/rand/v2"
 	"net"
 	"strconv"
 	"sync"
@@ -69,7 +70,8 @@
 	events  chan event
 	stopped chan struct{}
 	spawned sync.WaitGroup
-	ctx     context.Context // of the goroutines that it spawns
+	ctx     context.Context              // of the goroutines that it spawns
+	listen  func() (net.Listener, error) // for clients
 	ready   chan struct{}
 	addr    net.Addr
 	start   time.Time
@@ -143,9 +145,11 @@
 	for _, p := range cfg.Settings.Plans {
 		g.plans[p.Name] = true
 	}
+	g.listen = func() (net.Listener, error) { return net.Listen("tcp", cfg.Listen) }
 	g.counter = newCounter(cfg.Counter, cfg.Settings.CounterTimeout, g.post)
 	g.disc = newDiscovery(cfg.Discovery, cfg.Known.Rev,
 		paceOf(cfg.Settings.AskForFleet, cfg.Settings.Gateways, len(cfg.Known.Targets) > 0), g.post, log)
+	g.disc.rng = rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Settings.Me)))
 	return g, nil
 }
 
@@ -203,7 +207,7 @@
 	case <-ctx.Done():
 		return nil
 	}
-	ln, err := net.Listen("tcp", g.cfg.Listen)
+	ln, err := g.listen()
 	if err != nil {
 		return fmt.Errorf("listening: %w", err)
 	}
