No attempt begins for a client that has left, wherever its request waits

Seen from outside too: with a client that had read the end of its connection a second attempt followed a -BUSY; - a command handed to a connection and not begun was written where attempts may not be called off.

Design: a client carries a mark that it has gone, set before its connection is closed; arrivals, sends and freed connections look at it (one atomic load). The first read of a connection, and one after a blind pause, goes on without waiting up to what has come last: one more read system call for each connection, none for later commands. As today the end of a client's sending counts as its leaving. A pause in which more comes than is kept is not sat out by a client that is owed an answer; where none is owed it is, and what came behind it is turned away until the reader has caught up. discard reads 2 MiB between its pauses for as long as an answer is owed, 64 KiB as before else. A connection takes a command from its gateway with one compare-and-swap, so that one that is not begun can be taken back and the connection kept.

Ruled out: the end behind unread bytes can't be peeked at (MSG_PEEK shows the bytes), and where the system's buffers are full it has not even come; reading on is the one look that works in both. Room for more than the small buffer in a pause was not taken: it would come from the memory that usual commands share.

No existing test changed.

--- a/internal/ingress/backend.go
+++ b/internal/ingress/backend.go
@@ -38,6 +38,7 @@
 	handed time.Duration // when it was given to conn
 	why    logic.Outcome // given up by us: TimedOut or Cancelled; else still
 	ended  bool
+	taken  atomic.Bool // by the connection, to write it, or back from there
 }
 
 // backend is what the gateway's goroutine keeps of a server: its entry, its connections, and the attempts
@@ -179,6 +180,9 @@
 		case <-c.dead:
 			return
 		case j := <-c.work:
+			if !j.a.taken.CompareAndSwap(false, true) {
+				continue
+			}
 			c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
 			c.writing.Lock()
 			n, err := c.nc.Write(j.buf)
@@ -298,6 +302,18 @@
 	}
 }
 
+// takeBack ends an attempt that its connection will not write, and frees the connection.
+func (g *Gateway) takeBack(a *attempt) {
+	c := a.conn
+	select {
+	case <-c.work:
+	default: // the connection has it in hand, and drops it
+	}
+	c.cur = nil
+	g.end(a, logic.Moot, reply{})
+	g.free(c)
+}
+
 // dial opens connections for those that wait, within the caps.
 func (g *Gateway) dial(be *backend) {
 	for be.dialing+be.resting < len(be.waiting) && be.conns < mostPerBackend {
@@ -325,6 +341,9 @@
 		be.waiting = be.waiting[1:]
 		// Much may have changed since the attempt began to wait: a drain counts from when it is told, and a request may
 		// be over.
+		if a.req != nil && a.req.left() {
+			g.abandon(a.req)
+		}
 		if be.State != logic.Running || a.req != nil && a.req.final {
 			g.end(a, logic.Moot, reply{})
 			continue
--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/tidwall/redcon"
@@ -29,6 +31,8 @@
 	newcomer      = 50 * time.Millisecond
 	lingerTime    = 250 * time.Millisecond // for the client to see our end of a connection
 	lingerBytes   = 64 << 10
+	floodBytes    = 2 << 20 // the same while an answer is owed: what two systems' buffers hold is read in time
+	discardBuffer = 16 << 10
 	discardPause  = 10 * time.Millisecond  // after each so many bytes that are of no use
 	faultPause    = 100 * time.Millisecond // before the answer to nonsense, longer each time
 	mostFaults    = 10                     // pieces of nonsense before a connection ends
@@ -48,6 +52,9 @@
 	final    bool
 }
 
+// left says whether the client has gone; the word of it may still be on its way to the gateway.
+func (r *request) left() bool { return r.slot != nil && r.slot.c.gone.Load() }
+
 // front is the server side: it accepts clients on one address.
 type front struct {
 	ln         net.Listener
@@ -67,23 +74,24 @@
 type client struct {
 	f       *front
 	nc      net.Conn
-	in      inbox // the reader's, as the next two are
+	in      inbox // the reader's, as the next three are
 	paused  int32 // faults that were followed by a pause
 	left    bool  // the client has gone
+	blind   bool  // what is read may have waited for long, and it is not known whether the client is still there
 	wake    chan struct{}
 	written chan struct{} // closed when nothing is written any more
 	faults  atomic.Int32  // pieces of nonsense that came
 	mu      sync.Mutex
 	waiting []*slot // commands whose answers are not in out yet
 	out     []byte
-	ready   int       // answers in out
-	pending int       // commands whose answers are not written
-	unsent  int       // bytes of answers that are not written
-	used    time.Time // when it was opened, the last command came or the last answer left
-	spoken  bool      // a whole command has come
-	closing bool      // it will end when nothing waits for an answer
-	ended   bool      // it has: nothing is taken any more
-	gone    bool      // it is over: no answer is kept any more
+	ready   int         // answers in out
+	pending int         // commands whose answers are not written
+	unsent  int         // bytes of answers that are not written
+	used    time.Time   // when it was opened, the last command came or the last answer left
+	spoken  bool        // a whole command has come
+	closing bool        // it will end when nothing waits for an answer
+	ended   bool        // it has: nothing is taken any more
+	gone    atomic.Bool // it is over: no answer is kept and no attempt begins any more; set under mu
 }
 
 // slot keeps the place of one command's answer.
@@ -268,39 +276,58 @@
 		c.close()
 		c.discard()
 	}
+	left := c.leave()
 	c.nc.Close()
+	if len(left) > 0 { // told before the writer has ended: it may not run for a while
+		c.f.gw.post(abandoned{left})
+	}
 	close(done)
 	<-c.written
 	c.mu.Lock()
-	var left []*request
-	for _, s := range c.waiting {
-		if s.reply == nil {
-			left = append(left, s.req)
-		}
-	}
-	c.gone = true
 	c.f.unsent.Add(-int64(c.unsent))
 	c.mu.Unlock()
-	if len(left) > 0 {
-		c.f.gw.post(abandoned{left})
-	}
 	c.f.mu.Lock()
 	delete(c.f.clients, c)
 	c.f.mu.Unlock()
 	<-c.f.slots
 }
 
+// leave marks the connection as over and returns the requests that nobody waits for any more.
+func (c *client) leave() (left []*request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.gone.Store(true)
+	for _, s := range c.waiting {
+		if s.reply == nil {
+			left = append(left, s.req)
+		}
+	}
+	return left
+}
+
+// owes says whether a command waits for its answer.
+func (c *client) owes() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.waiting) > 0
+}
+
 // discard reads on without a use for it until the last answer is written, so that a client that leaves before is noticed,
-// and for a little after. It is slow on purpose: a flood costs its sender's time only.
+// and for a little after. It is slow on purpose: a flood costs its sender's time only. But the end of a client that is
+// owed an answer lies behind all that it sent, so until then it is only as slow as lets that be read in time.
 func (c *client) discard() {
 	c.limit(time.Time{})
-	buf := make([]byte, smallBuffer)
+	buf := make([]byte, discardBuffer)
 	for n := 0; ; {
 		k, err := c.nc.Read(buf)
 		if err != nil { // gone, or the writer's limit has passed
 			return
 		}
-		if n += k; n > lingerBytes {
+		most := lingerBytes
+		if c.owes() {
+			most = floodBytes
+		}
+		if n += k; n > most {
 			n = 0
 			wait(context.Background(), discardPause)
 		}
@@ -348,7 +375,7 @@
 // read takes commands until the connection ends; it says whether that was for nonsense.
 func (c *client) read() (lost bool) {
 	defer c.in.close()
-	limited := false
+	limited, first := false, true
 	for {
 		f, err := c.in.next()
 		switch {
@@ -376,6 +403,12 @@
 				limited = true
 			}
 			err = c.in.fill(c.nc.Read)
+			if err == nil && (first || c.blind) { // it may have been in the backlog for long
+				first = false
+				if !c.look() {
+					return false
+				}
+			}
 		}
 		switch {
 		case err == nil:
@@ -400,7 +433,7 @@
 
 // pause follows the n-th fault, longer each time: a client that repeats nonsense as soon as it has been turned away takes no
 // CPU from the others. What comes meanwhile is kept as far as there is room, so that a client that leaves is noticed, which
-// it tells.
+// it tells. Where more comes a client that is owed an answer is read on at once, or nobody would see it leave.
 func (c *client) pause(n int32) (here bool) {
 	c.paused = n
 	until := time.Now().Add(time.Duration(n) * faultPause)
@@ -415,11 +448,56 @@
 			return false
 		}
 	}
+	if c.owes() {
+		return true
+	}
 	select {
 	case <-time.After(time.Until(until)):
 	case <-c.written:
 	}
-	return true
+	c.blind = true
+	return c.look()
+}
+
+// look reads what has come, without waiting and as far as there is memory, up to the client's end: it says whether that
+// is not there. One that has been read up to what it last sent is blind no more.
+func (c *client) look() (here bool) {
+	sc, ok := c.nc.(syscall.Conn)
+	if !ok {
+		c.blind = false
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	for err == nil {
+		err = c.in.fill(func(b []byte) (int, error) { return readNow(raw, b) })
+	}
+	switch {
+	case errors.Is(err, syscall.EAGAIN):
+		c.blind = false
+		return true
+	case errors.Is(err, errTooLong), errors.Is(err, errMemory), errors.Is(err, os.ErrDeadlineExceeded):
+		return true // the next read will tell
+	}
+	return false
+}
+
+// readNow reads once and never waits: where nothing has come the error is EAGAIN.
+func readNow(raw syscall.RawConn, b []byte) (n int, err error) {
+	over := raw.Read(func(fd uintptr) bool {
+		for n, err = syscall.Read(int(fd), b); errors.Is(err, syscall.EINTR); {
+			n, err = syscall.Read(int(fd), b)
+		}
+		return true
+	})
+	switch {
+	case over != nil:
+		return 0, over
+	case err != nil:
+		return 0, err
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
 }
 
 // crowded says whether so many commands wait for their answers to be written.
@@ -451,7 +529,7 @@
 			c.fault(err.Error())
 			return
 		}
-		if c.crowded(mostPipelined) { // reading never stops, or nobody would see this client leave
+		if c.blind || c.crowded(mostPipelined) { // reading never stops, or nobody would see this client leave
 			c.reply(c.f.gw.turnedAway)
 			return
 		}
@@ -490,7 +568,7 @@
 func (s *slot) answer(b []byte) {
 	c := s.c
 	c.mu.Lock()
-	if c.gone {
+	if c.gone.Load() {
 		c.mu.Unlock()
 		return
 	}
--- a/internal/ingress/gateway.go
+++ b/internal/ingress/gateway.go
@@ -388,6 +388,10 @@
 // --- requests ---
 
 func (g *Gateway) arrived(r *request) {
+	if r.left() {
+		r.final = true
+		return
+	}
 	// Many clients with large bodies must not fill the memory: beyond the bounds nothing is taken. Nor is at the end of
 	// a shutdown, while clients go on sending on what is still open.
 	if len(g.requests) >= g.net.MaxOpen || g.heldBytes+r.size > g.mostHeld || g.endBy > 0 && g.now >= g.endBy {
@@ -426,13 +430,17 @@
 	g.forget(r)
 }
 
-// unsend ends the attempts of a request that is over which still wait for a connection: they must not be sent any more,
-// also where attempts that are out may not be called off.
+// unsend ends the attempts of a request that is over which still wait for a connection, or for their turn on it: they must
+// not be sent any more, also where attempts that are out may not be called off.
 func (g *Gateway) unsend(r *request) {
 	for _, a := range r.attempts {
-		if !a.ended && a.conn == nil {
+		switch {
+		case a.ended:
+		case a.conn == nil:
 			g.unwait(a)
 			g.end(a, logic.Moot, reply{})
+		case a.taken.CompareAndSwap(false, true):
+			g.takeBack(a)
 		}
 	}
 }
@@ -486,6 +494,9 @@
 	}
 	r.attempts = append(r.attempts, a)
 	r.out++
+	if r.left() {
+		g.abandon(r)
+	}
 	if r.final || a.stop <= g.now || a.n >= g.mostTries || be.State != logic.Running {
 		g.end(a, logic.Moot, reply{})
 		return
