Test that nothing is sent for a client that left, wherever the module keeps it

Kept as it stands: the counter's answer (granted, refused, lost, turned away, adds for others, ceilings), the queue, the cap, a missing server, a second copy, and the time between an attempt's end and the next. Each case is played as well with a client that stays, which has to lead to an attempt, so that no case is empty.

--- /dev/null
+++ b/logic/leave_test.go
@@ -0,0 +1,111 @@
+package logic
+
+import (
+	"testing"
+	"time"
+)
+
+// Wherever a request waits when its client leaves, nothing of it is sent from then on, whatever comes later:
+// answers of the counter, ends of attempts, room in the window or at the cap, servers.
+func TestNothingIsSentForAClientThatLeft(t *testing.T) {
+	fleet := []Server{{ID: "s", State: Running}, {ID: "u", State: Running}}
+	ended := func(o Outcome) AttemptEnded {
+		return AttemptEnded{ID: 1, Server: "s", Outcome: o, Took: 20 * ms}
+	}
+	of := func(r *rig, id RequestID, plan string, spread int) []Action {
+		return r.tell(Arrival{Request{ID: id, Class: "read", Plan: plan, Customer: "c", Units: 1,
+			GiveUpAt: r.now + 2*time.Second, Spread: spread}})
+	}
+	counted := func(o Outcome, total float64) func(r *rig, calls []Count) []Action {
+		return func(r *rig, calls []Count) (acts []Action) {
+			for _, c := range calls {
+				acts = append(acts, r.tell(CountReply{Name: c.Name, Outcome: o, Total: total})...)
+			}
+			return acts
+		}
+	}
+	for name, c := range map[string]struct {
+		plan    string
+		refused bool // where its client stays
+		spread  int
+		ready   func(r *rig)                         // before the request comes
+		waits   func(r *rig)                         // after, up to where it waits
+		later   func(r *rig, calls []Count) []Action // after its client has left
+	}{
+		"for the counter, which grants":  {"thin", false, 60, nil, nil, counted(Done, 1)},
+		"for the counter, which refuses": {"thin", true, 60, nil, nil, counted(Done, 1000)},
+		"for the counter, which is gone": {"thin", false, 60, nil, nil, counted(TimedOut, 0)},
+		"for the counter, turned away":   {"thin", false, 60, nil, nil, counted(Full, 0)},
+		"for the counter, with others' adds": {"thin", false, 60, func(r *rig) { r.g.askShare = 0.6 }, nil,
+			counted(Done, 1)},
+		"for the counter, beyond": {"excess", false, 60, nil, nil, counted(Done, 1000)},
+		"for a ceiling's window":  {"lid", false, 60, nil, nil, counted(Done, 1)},
+		"in the queue":            {"free", false, 2, func(r *rig) { r.g.window = 0 }, nil, nil},
+		"for a server": {"free", false, 2, func(r *rig) { r.tell(FleetChanged{Whole: true}) }, nil,
+			func(r *rig, _ []Count) []Action { return r.tell(FleetChanged{Whole: true, Servers: fleet}) }},
+		"at the cap": {"open", false, 1, func(r *rig) { of(r, 9, "open", 1) }, nil,
+			func(r *rig, _ []Count) []Action {
+				return r.tell(AttemptEnded{ID: 9, Server: "s", Outcome: Done, Took: 20 * ms, Finished: true})
+			}},
+		"for an answer, before a copy": {"free", false, 2,
+			func(r *rig) { r.g.classes["read"].mean = 0.02 }, nil, nil},
+		"for an answer that is a refusal": {"free", false, 2, nil, nil,
+			func(r *rig, _ []Count) []Action { return r.tell(ended(Full)) }},
+		"for a connection that never comes": {"free", false, 2, nil, nil,
+			func(r *rig, _ []Count) []Action { return r.tell(ended(NoConnect)) }},
+		"for a further attempt": {"free", false, 2, nil, func(r *rig) {
+			r.g.window = 0 // it shrinks meanwhile
+			r.tell(ended(Full))
+		}, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			play := func(leaves, mayCancel bool) (acts []Action) {
+				set := fleetSettings()
+				set.MayCancel = mayCancel
+				set.Plans = append(set.Plans, Plan{Name: "open", Price: 1, Open: 1, ExcessCost: 1},
+					Plan{Name: "excess", Price: 1, Rate: 0.8, Burst: 8, ExcessWorth: 1, ExcessCost: 0.1},
+					Plan{Name: "lid", Price: 1, Rate: 0.8, Burst: 8, CeilingRate: 2, CeilingBurst: 16})
+				r := newRig(t, set, fleet...)
+				r.g.window, r.g.retries = 10, 10
+				if c.ready != nil {
+					c.ready(r)
+				}
+				calls := only[Count](of(r, 1, c.plan, c.spread))
+				if c.waits != nil {
+					c.waits(r)
+				}
+				r.now += ms
+				if leaves {
+					acts = r.tell(Abandoned{ID: 1})
+				}
+				r.g.window = max(r.g.window, 10)
+				r.now += ms
+				if c.later != nil {
+					acts = append(acts, c.later(r, calls)...)
+				}
+				return append(acts, r.pass(3*time.Second)...)
+			}
+			for _, mayCancel := range []bool{true, false} {
+				for _, leaves := range []bool{true, false} {
+					sends, answers := 0, 0
+					for _, a := range play(leaves, mayCancel) {
+						switch a := a.(type) {
+						case Send:
+							if a.ID == 1 {
+								sends++
+							}
+						case Refuse, Fail:
+							answers++
+						}
+					}
+					switch {
+					case leaves && sends+answers > 0:
+						t.Errorf("may cancel %v: %d attempts, %d answers", mayCancel, sends, answers)
+					case !leaves && sends == 0 && !c.refused:
+						t.Errorf("may cancel %v: not sent for a client that stays", mayCancel)
+					}
+				}
+			}
+		})
+	}
+}
