Stand-ins: the test of a silence's empty line would miss turns left over

With the dropping of the line taken out it still passed, since all turns were over before the return; now the silence ends while those of the others would still be due, and it fails then. Long lines are wrapped.

--- a/internal/standin/backend_test.go
+++ b/internal/standin/backend_test.go
@@ -134,29 +134,34 @@
 
 // Attempts in work share the cores, as many wait as the queue has places, and the rest is turned away.
 func TestBackendCapacity(t *testing.T) {
-	second := takes(time.Second)
 	for name, c := range map[string]struct {
 		cfg  BackendConfig
 		want []string
 		most int
 	}{
-		"no bound":      {BackendConfig{Work: second}, []string{"0 value 1s", "1 value 1s", "2 value 1s"}, 3},
-		"shared core":   {BackendConfig{Work: second, Cores: 1}, []string{"0 value 3s", "1 value 3s", "2 value 3s"}, 3},
-		"enough cores":  {BackendConfig{Work: second, Cores: 3}, []string{"0 value 1s", "1 value 1s", "2 value 1s"}, 3},
-		"one waits":     {BackendConfig{Work: second, Cores: 2, Slots: 2, Queue: 1}, []string{"0 value 1s", "1 value 1s", "2 value 2s"}, 3},
-		"no place":      {BackendConfig{Work: second, Cores: 1, Slots: 1, Queue: 1}, []string{"0 value 1s", "1 value 2s", "2 -BUSY 0s"}, 2},
-		"no queue":      {BackendConfig{Work: second, Cores: 2, Slots: 1}, []string{"0 value 1s", "1 -BUSY 0s", "2 -BUSY 0s"}, 1},
-		"more on cores": {BackendConfig{Work: second, Cores: 1, Slots: 2, Queue: 9}, []string{"0 value 2s", "1 value 2s", "2 value 3s"}, 3},
+		"no bound":     {BackendConfig{}, []string{"0 value 1s", "1 value 1s", "2 value 1s"}, 3},
+		"shared core":  {BackendConfig{Cores: 1}, []string{"0 value 3s", "1 value 3s", "2 value 3s"}, 3},
+		"enough cores": {BackendConfig{Cores: 3}, []string{"0 value 1s", "1 value 1s", "2 value 1s"}, 3},
+		"one waits": {BackendConfig{Cores: 2, Slots: 2, Queue: 1},
+			[]string{"0 value 1s", "1 value 1s", "2 value 2s"}, 3},
+		"no place": {BackendConfig{Cores: 1, Slots: 1, Queue: 1},
+			[]string{"0 value 1s", "1 value 2s", "2 -BUSY 0s"}, 2},
+		"no queue": {BackendConfig{Cores: 2, Slots: 1},
+			[]string{"0 value 1s", "1 -BUSY 0s", "2 -BUSY 0s"}, 1},
+		"more slots than cores": {BackendConfig{Cores: 1, Slots: 2, Queue: 9},
+			[]string{"0 value 2s", "1 value 2s", "2 value 3s"}, 3},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
+				c.cfg.Work = takes(time.Second)
 				b, ln := startBackend(t, c.cfg)
 				if got := ends(t, ln, 3); !slices.Equal(got, c.want) {
 					t.Errorf("%q, want %q", got, c.want)
 				}
 				away := strings.Count(strings.Join(c.want, " "), "BUSY")
-				if s := b.Stats(); s.Served != 3-away || s.TurnedAway != away || s.Attempts != 3 || s.MostInFlight != c.most {
-					t.Errorf("%+v", s)
+				want := BackendStats{Conns: 3, Attempts: 3, Served: 3 - away, TurnedAway: away, MostInFlight: c.most}
+				if s := b.Stats(); s != want {
+					t.Errorf("%+v, want %+v", s, want)
 				}
 			})
 		})
--- a/internal/standin/counter_test.go
+++ b/internal/standin/counter_test.go
@@ -92,12 +92,12 @@
 				t.Errorf("%q: %q, want %q", c.call, got, c.want)
 			}
 			synctest.Wait()
-			s, names := counter.Stats(), 0
+			want := CounterStats{Conns: 1, BytesIn: int64(len(c.call) + 2), BytesOut: int64(len(c.want) + 2)}
 			if strings.HasPrefix(c.want, "ok") {
-				names = 1
+				want.Names, want.Calls = 1, 1
 			}
-			if s.Names != names || s.Calls != names || s.BytesIn != int64(len(c.call)+2) || s.BytesOut != int64(len(c.want)+2) {
-				t.Errorf("%q: %+v", c.call, s)
+			if s := counter.Stats(); s != want {
+				t.Errorf("%q: %+v, want %+v", c.call, s, want)
 			}
 		})
 	}
@@ -159,7 +159,8 @@
 		slow, other := namesOfTwoParts()
 		nc := newCaller(t, ln)
 		began := time.Now()
-		nc.say(t, "tally "+slow+" 1 9000", "tally "+slow+" 1 9000", "tally "+slow+" 1 9000", "tally "+other+" 5 9000", "ping", "?")
+		same := "tally " + slow + " 1 9000"
+		nc.say(t, same, same, same, "tally "+other+" 5 9000", "ping", "?")
 		for i, want := range []string{"ok 1", "ok 2", "ok 3", "ok 5", "pong", "error"} {
 			if got := <-nc.lines; got != want {
 				t.Fatalf("answer %d: %q, want %q", i, got, want)
@@ -207,7 +208,8 @@
 			if took := time.Since(began); took != c.want {
 				t.Errorf("%v: %v, want %v", c.names, took, c.want)
 			}
-			if s := counter.Stats(); s.LongestWait != c.want || s.Calls != 4 || s.Names != len(slices.Compact(slices.Sorted(slices.Values(c.names)))) {
+			names := len(slices.Compact(slices.Sorted(slices.Values(c.names))))
+			if s := counter.Stats(); s.LongestWait != c.want || s.Calls != 4 || s.Names != names {
 				t.Errorf("%v: %+v", c.names, s)
 			}
 		})
--- a/internal/standin/discovery_test.go
+++ b/internal/standin/discovery_test.go
@@ -304,7 +304,7 @@
 		go func() { lost <- r.callAll(t, time.Hour, time.Hour, time.Hour) }()
 		time.Sleep(500 * time.Millisecond)
 		r.SetState(Silent)
-		time.Sleep(10 * time.Second)
+		time.Sleep(700 * time.Millisecond) // the turn that had begun is over, those of the others would not be
 		r.SetState(Up)
 		if got := r.callAll(t, time.Hour); got[0] != (ended{0, "200 OK", time.Second}) {
 			t.Fatalf("after the return: %v", got)
