Scale run: cost by size of hollow ingresses, compared with real processes

A hollow ingress is one goroutine with the real decision module and, through the new seam internal/ingress/parts.go, the real discovery and counter code; arrivals and answers are drawn. Hundreds share a process. Discovery and the counter are stand-ins in processes of their own, so that each role's processor time and state are its own. Backends and tenants are swept on a driven clock, one ingress at a time; ingresses, changes and the loss of a zone in real time. A few real processes with real clients are measured at one point beside hollow ones, and the ratio is part of the report. A list that the client leaves aside is told as a finding, and the module then gets it as a configuration brings it.

--- /dev/null
+++ b/internal/ingress/parts.go
@@ -0,0 +1,72 @@
+package ingress
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+
+	"larchwick/logic"
+)
+
+// Parts are the sides of an ingress that talk to discovery and to the counter, without clients and backends. A scale
+// run drives hundreds of them beside decision modules of its own, so that their messages are the real ones.
+type Parts struct {
+	disc    *discovery
+	counter *counter
+}
+
+// NewParts prepares both clients as New does. They post what they learn: a Fleet for a list or a change, and events
+// that Counted reads.
+func NewParts(cfg Config, post func(any), log *slog.Logger) *Parts {
+	tell := func(ev event) { post(ev) }
+	pace := paceOf(cfg.Settings.AskForFleet, cfg.Settings.Gateways, len(cfg.Known.Targets) > 0)
+	return &Parts{disc: newDiscovery(cfg.Discovery, cfg.Known.Rev, pace, tell, log),
+		counter: newCounter(cfg.Counter, cfg.Settings.CounterTimeout, tell)}
+}
+
+// Run keeps the list and serves calls until ctx ends, and returns once nothing of it runs any more.
+func (p *Parts) Run(ctx context.Context) {
+	var all sync.WaitGroup
+	for _, l := range p.counter.links {
+		all.Go(func() { l.run(ctx) })
+	}
+	all.Go(func() { p.disc.run(ctx) })
+	all.Wait()
+}
+
+// Call is a call of the counter that is out.
+type Call struct{ call *call }
+
+// Count queues a call; Late has to be asked once the counter's time-out is over.
+func (p *Parts) Count(a logic.Count) Call {
+	k := &call{name: a.Name, add: a.Add, keep: a.Keep}
+	p.counter.add(k)
+	return Call{k}
+}
+
+// Late is the module's reply for a call whose time is over, unless it has had one.
+func (c Call) Late() (logic.CountReply, bool) {
+	if c.call.state.CompareAndSwap(callQueued, callDropped) {
+		return Counted(counted{call: c.call, outcome: logic.NoConnect})
+	}
+	return Counted(counted{call: c.call, outcome: logic.TimedOut})
+}
+
+// Counted is the module's reply, if the event is the counter's; a call has one, and only the owner of Parts asks.
+func Counted(ev any) (logic.CountReply, bool) {
+	e, ok := ev.(counted)
+	if !ok || e.call.ended {
+		return logic.CountReply{}, false
+	}
+	e.call.ended = true
+	return logic.CountReply{Name: e.call.name, Outcome: e.outcome, Total: e.total}, true
+}
+
+// Changed is the list as the module's event.
+func (f Fleet) Changed() logic.FleetChanged {
+	ev := logic.FleetChanged{Whole: f.All, Servers: make([]logic.Server, len(f.Targets))}
+	for i, t := range f.Targets {
+		ev.Servers[i] = t.server()
+	}
+	return ev
+}
--- /dev/null
+++ b/internal/scale/client.go
@@ -0,0 +1,190 @@
+package scale
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/tidwall/redcon"
+
+	"larchwick/logic"
+)
+
+const (
+	dialTime   = time.Second
+	answerTime = 4 * time.Second // beyond the longest deadline: the connection is given up
+)
+
+// clients send drawn requests to one address, each at its time whether or not the others have answers, on connections
+// that they keep.
+type clients struct {
+	addr     string
+	number   int // part of the requests' ids
+	served   atomic.Uint64
+	refused  atomic.Uint64
+	failed   atomic.Uint64
+	wrong    atomic.Uint64 // served with a value made for another request
+	mu       sync.Mutex
+	idle     []*clientConn
+	open     map[*clientConn]bool
+	beyond   *hdrhistogram.Histogram // time of the served ones, less the backend's work
+	requests uint64
+}
+
+type clientConn struct {
+	net.Conn
+	in *bufio.Reader
+}
+
+func newClients(addr string, number int) *clients {
+	return &clients{addr: addr, number: number, open: map[*clientConn]bool{}, beyond: newHistogram()}
+}
+
+// play sends requests at the rate until ctx ends or the time is over, and returns when all have ended.
+func (c *clients) play(ctx context.Context, rng *rand.Rand, tenants []tenant, rate float64, d, work time.Duration) {
+	var out sync.WaitGroup
+	defer out.Wait()
+	began := time.Now()
+	for due := time.Duration(0); ; {
+		due += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
+		if due > d || pause(ctx, time.Until(began.Add(due))) != nil {
+			return
+		}
+		c.requests++
+		command, id := c.command(draw(rng, tenants, 0))
+		at := began.Add(due)
+		out.Go(func() { c.count(c.ask(ctx, command), id, at, work) })
+	}
+}
+
+// command is a request as a client writes it, with its id.
+func (c *clients) command(q logic.Request) ([]byte, string) {
+	verb, id := "Q.ASK", fmt.Sprintf("%08x%08x", c.number, c.requests)
+	words := []string{q.Customer, id, fmt.Sprintf("c=%s,t=%s,d=%d,units=%v,spread=%d,first=%d", q.Class, q.Plan,
+		q.GiveUpAt.Milliseconds(), q.Units, q.Spread, q.First)}
+	if q.Class == "order" {
+		verb, words = "Q.DO", append(words, "body")
+	}
+	b := redcon.AppendBulkString(redcon.AppendArray(nil, 1+len(words)), verb)
+	for _, w := range words {
+		b = redcon.AppendBulkString(b, w)
+	}
+	return b, id
+}
+
+func (c *clients) count(answer string, id string, at time.Time, work time.Duration) {
+	switch {
+	case answer == id:
+		c.served.Add(1)
+		c.mu.Lock()
+		c.beyond.RecordValue(int64(min(max(time.Since(at)-work, 1), longestTime))) // always within its bounds
+		c.mu.Unlock()
+	case strings.HasPrefix(answer, "-BUSY"):
+		c.refused.Add(1)
+	case strings.HasPrefix(answer, "-"):
+		c.failed.Add(1)
+	default:
+		c.wrong.Add(1)
+	}
+}
+
+// ask sends one command and returns the value, or an error line.
+func (c *clients) ask(ctx context.Context, command []byte) string {
+	nc, err := c.take(ctx)
+	if err != nil {
+		return "-" + err.Error()
+	}
+	nc.SetDeadline(time.Now().Add(answerTime))
+	if _, err := nc.Write(command); err != nil {
+		c.drop(nc)
+		return "-" + err.Error()
+	}
+	answer, err := readReply(nc.in)
+	if err != nil {
+		c.drop(nc)
+		return "-" + err.Error()
+	}
+	c.mu.Lock()
+	c.idle = append(c.idle, nc)
+	c.mu.Unlock()
+	return answer
+}
+
+func (c *clients) take(ctx context.Context) (*clientConn, error) {
+	c.mu.Lock()
+	if n := len(c.idle); n > 0 {
+		nc := c.idle[n-1]
+		c.idle = c.idle[:n-1]
+		c.mu.Unlock()
+		return nc, nil
+	}
+	c.mu.Unlock()
+	d := net.Dialer{Timeout: dialTime}
+	raw, err := d.DialContext(ctx, "tcp", c.addr)
+	if err != nil {
+		return nil, err
+	}
+	nc := &clientConn{raw, bufio.NewReader(raw)}
+	c.mu.Lock()
+	c.open[nc] = true
+	c.mu.Unlock()
+	return nc, nil
+}
+
+func (c *clients) drop(nc *clientConn) {
+	nc.Close()
+	c.mu.Lock()
+	delete(c.open, nc)
+	c.mu.Unlock()
+}
+
+func (c *clients) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for nc := range c.open {
+		nc.Close()
+	}
+}
+
+const longestReply = 64 << 10 // the protocol's bound of a value
+
+// readReply reads a value, an array's first one, or a line that begins with + or -.
+func readReply(in *bufio.Reader) (string, error) {
+	line, err := in.ReadString('\n')
+	if err != nil {
+		return "", err
+	}
+	line = strings.TrimRight(line, "\r\n")
+	if line == "" {
+		return "", fmt.Errorf("an empty answer")
+	}
+	n, err := strconv.Atoi(line[1:])
+	switch {
+	case line[0] == '+' || line[0] == '-':
+		return line, nil
+	case err != nil:
+		return "", fmt.Errorf("answer %q: %w", line, err)
+	case line[0] == '$' && n < 0:
+		return "-null", nil
+	case line[0] == '$' && n <= longestReply:
+		b := make([]byte, n+2)
+		_, err := io.ReadFull(in, b)
+		return string(b[:n]), err
+	case line[0] == '*' && n > 0 && n < 8:
+		first, err := readReply(in)
+		for i := 1; i < n && err == nil; i++ {
+			_, err = readReply(in)
+		}
+		return first, err
+	}
+	return "", fmt.Errorf("answer %q", line)
+}
--- /dev/null
+++ b/internal/scale/hollow.go
@@ -0,0 +1,445 @@
+package scale
+
+import (
+	"container/heap"
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"larchwick/internal/ingress"
+	"larchwick/logic"
+)
+
+const (
+	hollowEvents = 256
+	replyAfter   = 500 * time.Microsecond // of the counter, on a driven clock
+	drivenStart  = 500_000 * time.Hour    // a driven clock begins then, so that a start of 0 is long ago
+	overdue      = 8 * time.Millisecond   // after a request's time, without an answer
+)
+
+// Tally counts what a hollow ingress did.
+type Tally struct {
+	Requests, Served, Refused, Failed, Unanswered uint64
+	Sends, Calls, Ticks, Changes, Lists           uint64
+}
+
+func (t Tally) minus(u Tally) Tally {
+	return Tally{t.Requests - u.Requests, t.Served - u.Served, t.Refused - u.Refused, t.Failed - u.Failed,
+		t.Unanswered - u.Unanswered, t.Sends - u.Sends, t.Calls - u.Calls, t.Ticks - u.Ticks, t.Changes - u.Changes,
+		t.Lists - u.Lists}
+}
+
+func (t Tally) plus(u Tally) Tally { return t.minus(Tally{}.minus(u)) }
+
+// listed is a list or a change that came to be in force.
+type listed struct {
+	rev int64
+	at  time.Time
+}
+
+// Hollow is an ingress without clients and backends: the real module, with arrivals and answers drawn. On a driven
+// clock its counter is a table; live it talks to discovery and a counter as a real one does. One goroutine owns it.
+type Hollow struct {
+	me       int
+	set      logic.Settings
+	mod      *logic.Gateway
+	rng      *rand.Rand
+	back     *Backends
+	rec      *Recorder
+	tenants  []tenant
+	rate     float64 // requests a second; 0: none come
+	arriving bool
+	now      time.Duration
+	began    time.Time // of the event in hand
+	due      agenda
+	open     map[logic.RequestID]*request
+	last     logic.RequestID
+	queue    []logic.Event
+	actions  []logic.Action
+	tally    Tally
+	held     map[logic.ServerID]logic.Server // kept where the module asks for the list
+	log      []listed
+
+	totals map[string]float64 // the counter, on a driven clock
+	parts  *ingress.Parts     // live
+	events chan any
+	ended  chan struct{}
+	start  time.Time
+}
+
+type request struct {
+	arrived  time.Duration
+	attempts []attempt
+	out      int
+	final    bool
+}
+
+type attempt struct {
+	server logic.ServerID
+	sent   time.Duration
+	holds  bool // a place at the backend
+	ended  bool
+}
+
+// what is due on a hollow ingress's clock.
+type what uint8
+
+const (
+	nextArrival what = iota
+	attemptEnd
+	giveUp
+	tick
+	callLate
+	callReply
+)
+
+type item struct {
+	at    time.Duration
+	what  what
+	id    logic.RequestID
+	n     int // attempt
+	end   logic.AttemptEnded
+	reply logic.CountReply
+	call  ingress.Call
+}
+
+// agenda is a heap of what is due, the earliest first.
+type agenda []*item
+
+func (a agenda) Len() int           { return len(a) }
+func (a agenda) Less(i, j int) bool { return a[i].at < a[j].at }
+func (a agenda) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
+
+// Push is for container/heap.
+func (a *agenda) Push(x any) { *a = append(*a, x.(*item)) }
+
+// Pop is for container/heap.
+func (a *agenda) Pop() any {
+	old := *a
+	last := old[len(old)-1]
+	old[len(old)-1] = nil
+	*a = old[:len(old)-1]
+	return last
+}
+
+// NewHollow returns the ingress of that number, on a driven clock.
+func NewHollow(s Shape, me int, back *Backends, rec *Recorder, seed uint64) (*Hollow, error) {
+	set, err := s.parsed(me)
+	if err != nil {
+		return nil, err
+	}
+	mod, err := logic.New(set, seed+uint64(me))
+	if err != nil {
+		return nil, err
+	}
+	return &Hollow{me: me, set: set, mod: mod, rng: rand.New(rand.NewPCG(seed, uint64(me))), back: back, rec: rec,
+		tenants: s.tenantsOf(me), now: drivenStart, open: map[logic.RequestID]*request{},
+		totals: map[string]float64{}, held: map[logic.ServerID]logic.Server{}}, nil
+}
+
+// Known hands over the list that a configuration brings.
+func (h *Hollow) Known(targets []ingress.Target) {
+	h.fleet(ingress.Fleet{All: true, Targets: targets})
+}
+
+func (h *Hollow) schedule(after time.Duration, it item) {
+	it.at = h.now + after
+	heap.Push(&h.due, &it)
+}
+
+// setRate begins or ends the arrivals.
+func (h *Hollow) setRate(rate float64) {
+	h.rate = rate
+	if rate > 0 && !h.arriving {
+		h.arriving = true
+		h.schedule(h.gap(), item{what: nextArrival})
+	}
+}
+
+func (h *Hollow) gap() time.Duration {
+	return time.Duration(h.rng.ExpFloat64() / h.rate * float64(time.Second))
+}
+
+// Drive plays what is due, without waiting, until the clock has advanced so far or more says no.
+func (h *Hollow) Drive(span time.Duration, more func() bool) {
+	end := h.now + span
+	for len(h.due) > 0 && h.due[0].at <= end && more() {
+		it := heap.Pop(&h.due).(*item)
+		h.now = it.at
+		h.ring(it)
+	}
+	if len(h.due) == 0 || h.due[0].at > end {
+		h.now = end
+	}
+}
+
+func (h *Hollow) ring(it *item) {
+	switch it.what {
+	case nextArrival:
+		if h.arriving = h.rate > 0; h.arriving {
+			h.arrive(it.at)
+			heap.Push(&h.due, &item{at: it.at + h.gap(), what: nextArrival})
+		}
+	case attemptEnd:
+		h.end(it.id, it.n, it.end)
+	case giveUp:
+		if r := h.open[it.id]; r != nil && !r.final {
+			h.tally.Unanswered++
+			r.final = true
+			h.tell(logic.Abandoned{ID: it.id})
+			h.forget(it.id, r)
+		}
+	case tick:
+		h.tell(logic.TimerFired{})
+	case callReply:
+		h.tell(it.reply)
+	case callLate:
+		if reply, ok := it.call.Late(); ok {
+			h.tell(reply)
+		}
+	}
+	h.flush()
+}
+
+func (h *Hollow) arrive(due time.Duration) {
+	q := draw(h.rng, h.tenants, due)
+	h.last++
+	q.ID = h.last
+	h.open[q.ID] = &request{arrived: due}
+	h.tally.Requests++
+	h.tell(logic.Arrival{Request: q})
+	heap.Push(&h.due, &item{at: q.GiveUpAt + overdue, what: giveUp, id: q.ID})
+}
+
+func (h *Hollow) tell(ev logic.Event) { h.queue = append(h.queue, ev) }
+
+// flush hands over what is queued and carries out the actions, which may queue more.
+func (h *Hollow) flush() {
+	for i := 0; i < len(h.queue); i++ {
+		h.began = time.Now()
+		h.actions = h.mod.Handle(h.now, h.queue[i], h.actions[:0])
+		h.rec.add(h.me, h.count(h.queue[i]), time.Since(h.began))
+		for _, a := range h.actions {
+			h.act(a)
+		}
+	}
+	clear(h.queue)
+	h.queue = h.queue[:0]
+}
+
+// count adds the event to the tally and says what its time is about.
+func (h *Hollow) count(ev logic.Event) kind {
+	switch ev := ev.(type) {
+	case logic.Arrival:
+		return handleArrival
+	case logic.CountReply:
+		return handleReply
+	case logic.TimerFired:
+		h.tally.Ticks++
+		return handleTick
+	case logic.FleetChanged:
+		if ev.Whole {
+			h.tally.Lists++
+			return handleList
+		}
+		h.tally.Changes++
+		return handleChange
+	}
+	return handleAnswer
+}
+
+func (h *Hollow) act(a logic.Action) {
+	switch a := a.(type) {
+	case logic.Send:
+		h.send(a)
+	case logic.Cancel:
+		h.end(a.ID, a.Attempt, logic.AttemptEnded{Outcome: logic.Cancelled})
+	case logic.Refuse:
+		h.answer(a.ID, &h.tally.Refused)
+	case logic.Fail:
+		h.answer(a.ID, &h.tally.Failed)
+	case logic.SetTimer:
+		h.schedule(a.After, item{what: tick})
+	case logic.Count:
+		h.call(a)
+	case logic.Watch, logic.Fetch: // the watch is always on: the list held is the answer
+		ev := logic.FleetChanged{Whole: true}
+		for _, s := range h.held {
+			ev.Servers = append(ev.Servers, s)
+		}
+		h.tell(ev)
+	}
+}
+
+func (h *Hollow) send(a logic.Send) {
+	r := h.open[a.ID]
+	if r == nil {
+		return
+	}
+	if len(r.attempts) == 0 {
+		h.rec.add(h.me, addedLatency, h.now-r.arrived+time.Since(h.began))
+	}
+	h.tally.Sends++
+	took, end := h.back.begin(a.Server, h.now, h.rng)
+	r.attempts = append(r.attempts, attempt{server: a.Server, sent: h.now, holds: end.Outcome == logic.Done})
+	r.out++
+	if a.StopAt > 0 && h.now+took > a.StopAt {
+		took, end = max(0, a.StopAt-h.now), logic.AttemptEnded{Outcome: logic.TimedOut}
+	}
+	h.schedule(took, item{what: attemptEnd, id: a.ID, n: len(r.attempts) - 1, end: end})
+}
+
+// end tells the module how an attempt ended, once.
+func (h *Hollow) end(id logic.RequestID, n int, ev logic.AttemptEnded) {
+	r := h.open[id]
+	if r == nil || n >= len(r.attempts) || r.attempts[n].ended {
+		return
+	}
+	a := &r.attempts[n]
+	a.ended = true
+	r.out--
+	if a.holds {
+		h.back.finish(a.server)
+	}
+	if ev.Outcome == logic.Done && !r.final {
+		r.final = true
+		h.tally.Served++
+	}
+	ev.ID, ev.Attempt, ev.Server, ev.Took, ev.Finished = id, n, a.server, h.now-a.sent, r.final
+	h.tell(ev)
+	h.forget(id, r)
+}
+
+func (h *Hollow) answer(id logic.RequestID, n *uint64) {
+	if r := h.open[id]; r != nil && !r.final {
+		*n++
+		r.final = true
+		h.forget(id, r)
+	}
+}
+
+func (h *Hollow) forget(id logic.RequestID, r *request) {
+	if r.final && r.out == 0 {
+		delete(h.open, id)
+	}
+}
+
+func (h *Hollow) call(a logic.Count) {
+	h.tally.Calls++
+	if h.parts != nil {
+		h.schedule(h.set.CounterTimeout, item{what: callLate, call: h.parts.Count(a)})
+		return
+	}
+	h.totals[a.Name] += a.Add
+	h.schedule(replyAfter, item{what: callReply,
+		reply: logic.CountReply{Name: a.Name, Outcome: logic.Done, Total: h.totals[a.Name]}})
+}
+
+func (h *Hollow) fleet(f ingress.Fleet) {
+	ev := f.Changed()
+	if h.set.AskForFleet {
+		if ev.Whole {
+			clear(h.held)
+		}
+		for _, s := range ev.Servers {
+			if h.held[s.ID] = s; s.State == logic.Gone {
+				delete(h.held, s.ID)
+			}
+		}
+	}
+	h.tell(ev)
+	h.flush()
+	h.log = append(h.log, listed{f.Rev, time.Now()})
+}
+
+// goLive connects a hollow ingress with discovery and the counter; Live then runs it.
+func (h *Hollow) goLive(discovery, counter string, known ingress.Fleet, log *slog.Logger) {
+	h.start = time.Now()
+	h.now = time.Duration(h.start.UnixNano())
+	h.events, h.ended = make(chan any, hollowEvents), make(chan struct{})
+	cfg := ingress.Config{Discovery: discovery, Counter: counter, Known: known, Settings: h.set}
+	h.parts = ingress.NewParts(cfg, h.post, log)
+	h.totals = nil
+}
+
+// post tells the ingress's goroutine; after its end nothing is told any more.
+func (h *Hollow) post(ev any) {
+	select {
+	case h.events <- ev:
+	case <-h.ended:
+	}
+}
+
+// ask lets the ingress's goroutine run do, and waits for it.
+func (h *Hollow) ask(ctx context.Context, do func()) error {
+	done := make(chan struct{})
+	h.post(func() { do(); close(done) })
+	select {
+	case <-done:
+		return nil
+	case <-h.ended:
+		return fmt.Errorf("hollow ingress %d has ended", h.me)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (h *Hollow) clock() time.Duration {
+	return time.Duration(h.start.UnixNano()) + time.Since(h.start)
+}
+
+// Live runs the ingress in real time until ctx ends, and returns once its connections are closed.
+func (h *Hollow) Live(ctx context.Context) {
+	over := make(chan struct{})
+	go func() {
+		defer close(over)
+		h.parts.Run(ctx)
+	}()
+	h.loop(ctx)
+	close(h.ended)
+	<-over
+}
+
+func (h *Hollow) loop(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		wait := time.Hour
+		if len(h.due) > 0 {
+			wait = h.due[0].at - h.clock()
+		}
+		timer.Reset(wait)
+		select {
+		case <-ctx.Done():
+			return
+		case ev := <-h.events:
+			h.now = h.clock()
+			h.hear(ev)
+		case <-timer.C:
+		}
+		h.now = h.clock()
+		for len(h.due) > 0 && h.due[0].at <= h.now {
+			it := heap.Pop(&h.due).(*item)
+			if it.what == nextArrival {
+				h.rec.add(h.me, lateness, h.now-it.at)
+			}
+			h.ring(it)
+		}
+	}
+}
+
+func (h *Hollow) hear(ev any) {
+	switch ev := ev.(type) {
+	case func():
+		ev()
+	case ingress.Fleet:
+		h.fleet(ev)
+	default:
+		if reply, ok := ingress.Counted(ev); ok {
+			h.tell(reply)
+			h.flush()
+		}
+	}
+}
--- /dev/null
+++ b/internal/scale/machine.go
@@ -0,0 +1,205 @@
+package scale
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	memoryPart    = 0.5 // of the machine, that a run may use at most
+	mostProcesses = 300 // and processes
+	ticksASecond  = 100 // of the processor times in /proc
+	sampleEvery   = 250 * time.Millisecond
+
+	// What a run is reckoned with before it starts, in bytes; the sampler holds it to the bound while it runs.
+	baseBytes       = 200 << 20
+	hollowBytes     = 400 << 10
+	perTenantBytes  = 700
+	perBackendBytes = 700  // in each module
+	listBytes       = 2500 // for each backend once: modelled, in discovery, as text on its way
+	realBytes       = 60 << 20
+)
+
+// Machine is where a run was made.
+type Machine struct {
+	Cores  int    `json:"cores"`
+	Memory uint64 `json:"memory_bytes"`
+	Go     string `json:"go"`
+	OS     string `json:"os"`
+	Load   string `json:"load"` // averages over 1, 5 and 15 minutes before the run: what else it was doing
+}
+
+func machine() (Machine, error) {
+	total, err := procField("/proc/meminfo", "MemTotal:")
+	if err != nil {
+		return Machine{}, err
+	}
+	load, err := os.ReadFile("/proc/loadavg")
+	return Machine{runtime.NumCPU(), total, runtime.Version(), runtime.GOOS + "/" + runtime.GOARCH,
+		strings.Join(strings.Fields(string(load))[:min(3, len(strings.Fields(string(load))))], " ")}, err
+}
+
+// procField reads a figure in kB, as bytes.
+func procField(path, name string) (uint64, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return 0, err
+	}
+	defer f.Close()
+	for in := bufio.NewScanner(f); in.Scan(); {
+		if text, ok := strings.CutPrefix(in.Text(), name); ok {
+			kb, err := strconv.ParseUint(strings.TrimSpace(strings.TrimSuffix(text, "kB")), 10, 64)
+			if err != nil {
+				return 0, fmt.Errorf("%s: %s %w", path, name, err)
+			}
+			return kb << 10, nil
+		}
+	}
+	return 0, fmt.Errorf("%s has no %s", path, name)
+}
+
+func resident(pid int) uint64 {
+	n, err := procField(fmt.Sprintf("/proc/%d/status", pid), "VmRSS:")
+	if err != nil { // it has ended
+		return 0
+	}
+	return n
+}
+
+// processorTime of another process, user and system, in steps of 10 ms.
+func processorTime(pid int) (time.Duration, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, err
+	}
+	_, rest, ok := strings.Cut(string(text), ") ") // the name may have spaces
+	fields := strings.Fields(rest)
+	if !ok || len(fields) < 13 {
+		return 0, fmt.Errorf("process %d: no times in its stat", pid)
+	}
+	sum := 0
+	for _, f := range fields[11:13] {
+		n, err := strconv.Atoi(f)
+		if err != nil {
+			return 0, fmt.Errorf("process %d: %w", pid, err)
+		}
+		sum += n
+	}
+	return time.Duration(sum) * time.Second / ticksASecond, nil
+}
+
+const (
+	wholeProcess = syscall.RUSAGE_SELF
+	thisThread   = syscall.RUSAGE_THREAD // the caller has locked its goroutine to it
+)
+
+// used is the processor time so far, user and system.
+func used(who int) time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(who, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// heapInUse is what is in use after a collection, in bytes.
+func heapInUse() uint64 {
+	debug.FreeOSMemory()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc + m.StackInuse
+}
+
+// reckon says whether the run that is asked for keeps within the bounds, before anything is started.
+func reckon(o Options, m Machine) error {
+	if n := 1 + roleProcesses + o.Real; n > mostProcesses {
+		return fmt.Errorf("%d processes are asked for, %d at most", n, mostProcesses)
+	}
+	need := 0.0
+	take := func(bytes float64) { need = max(need, bytes) }
+	for _, n := range o.Backends {
+		take(baseBytes + float64(n)*(listBytes+2*perBackendBytes))
+	}
+	most := 0
+	for _, n := range o.Ingresses {
+		most = max(most, n)
+	}
+	one := hollowBytes + float64(liveTenants)*perTenantBytes + float64(liveBackends)*perBackendBytes
+	take(baseBytes + float64(most)*one + float64(o.Real)*realBytes)
+	for _, n := range o.Tenants {
+		take(baseBytes + float64(n)*2*perTenantBytes)
+	}
+	if bound := memoryPart * float64(m.Memory); need > bound {
+		return fmt.Errorf("about %s are asked for, half of the machine's memory is %s", mega(need), mega(bound))
+	}
+	return nil
+}
+
+func mega(bytes float64) string { return fmt.Sprintf("%.0f MB", bytes/(1<<20)) }
+
+// Used is what a run took of its machine.
+type Used struct {
+	PeakMemory    uint64  `json:"peak_memory_bytes"` // of all its processes, by samples
+	PeakProcesses int     `json:"peak_processes"`
+	Processor     float64 `json:"processor_s"` // of this process
+	Wall          float64 `json:"wall_s"`
+}
+
+// watcher samples what the run uses, and ends it where that is more than the bound.
+type watcher struct {
+	mu    sync.Mutex
+	pids  map[int]bool
+	peak  uint64
+	procs int
+}
+
+func newWatcher() *watcher { return &watcher{pids: map[int]bool{os.Getpid(): true}} }
+
+func (w *watcher) started(pid int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.pids[pid] = true
+	w.procs = max(w.procs, len(w.pids))
+}
+
+func (w *watcher) ended(pid int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.pids, pid)
+}
+
+func (w *watcher) sample() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	sum := uint64(0)
+	for pid := range w.pids {
+		sum += resident(pid)
+	}
+	w.peak, w.procs = max(w.peak, sum), max(w.procs, len(w.pids))
+	return sum
+}
+
+// run samples until ctx ends; more than the bound stops the run.
+func (w *watcher) run(ctx context.Context, bound uint64, stop func(error)) {
+	for t := time.NewTicker(sampleEvery); ; {
+		if sum := w.sample(); sum > bound {
+			stop(fmt.Errorf("stopped at %s: over half of the machine's memory", mega(float64(sum))))
+			return
+		}
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return
+		case <-t.C:
+		}
+	}
+}
--- /dev/null
+++ b/internal/scale/run.go
@@ -0,0 +1,220 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os/exec"
+	"runtime/debug"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	liveTenants  = 300 // of each hollow ingress that is live
+	liveBackends = 200 // but in the sweep of backends: what a request costs in the module grows with them
+	meanWork     = 20 * time.Millisecond
+	shutdownTime = 5 * time.Second // of the time bound, for the report
+)
+
+// Sweeps are all that there are, in their order.
+func Sweeps() []string {
+	return []string{"backends", "ingresses", "tenants", "changes", "zone", "compare"}
+}
+
+// Options are what a run is asked for; the tags are for the command line, where sweeps stands for all Sweeps.
+type Options struct {
+	Sweep     []string  `help:"Sweeps to run, of ${enum}." enum:"${sweeps}" default:"${sweeps}" json:"sweep"`
+	Seed      uint64    `help:"Seed of all that is drawn." default:"1" json:"seed"`
+	JSON      string    `help:"File for all figures." name:"json" default:"scale.json" json:"json"`
+	Minutes   float64   `help:"Bound of the run; what is left then is skipped." default:"9" json:"minutes"`
+	Backends  []int     `help:"Numbers of backends." default:"200,1000,5000,20000,60000,200000" json:"backends"`
+	Ingresses []int     `help:"Numbers of live ingresses." default:"10,30,100,200,300,500,800" json:"ingresses"`
+	Tenants   []int     `help:"Tenants of one ingress." default:"100,300,1000,3000,10000,30000" json:"tenants"`
+	Changes   []float64 `help:"Changes a second." default:"1,10,50" json:"changes"`
+	Fleet     int       `help:"Ingresses of the fleet where one is measured alone." default:"6400" json:"fleet"`
+	Rate      float64   `help:"Requests a second of one ingress." default:"328" json:"rate"`
+	Real      int       `help:"Real processes to compare with hollow ones." default:"3" json:"real"`
+	Binary    string    `help:"A built hitchspring; else the run builds one." type:"existingfile" optional:"" json:"binary"`
+	Quick     bool      `help:"Small sizes and short points, to try the run: about a minute." json:"quick"`
+}
+
+// quickened is the run of small sizes.
+func (o Options) quickened() Options {
+	o.Backends, o.Ingresses, o.Tenants = []int{200, 1000, 5000}, []int{5, 10, 20}, []int{100, 300, 1000}
+	o.Changes, o.Real, o.Minutes = []float64{1, 10, 50}, min(o.Real, 2), min(o.Minutes, 3)
+	return o
+}
+
+// check says in one line what can't be run.
+func (o Options) check() error {
+	sizes := []struct {
+		name string
+		list []int
+		most int
+	}{{"backends", o.Backends, 1 << 21}, {"ingresses", o.Ingresses, 1 << 14}, {"tenants", o.Tenants, 1 << 21},
+		{"fleet", []int{o.Fleet}, 1 << 14}, {"real", []int{o.Real}, 1 << 14}}
+	for _, s := range sizes {
+		if len(s.list) == 0 || slices.Min(s.list) < 1 || slices.Max(s.list) > s.most {
+			return fmt.Errorf("--%s: sizes from 1 to %d are wanted", s.name, s.most)
+		}
+	}
+	if len(o.Changes) == 0 || !(slices.Min(o.Changes) > 0) || !(slices.Max(o.Changes) <= 1000) {
+		return errors.New("--changes: over 0 and up to 1000 a second are wanted")
+	}
+	if !(o.Rate > 0 && o.Rate <= 1e5) {
+		return errors.New("--rate: over 0 and up to 100000 a second are wanted")
+	}
+	if !(o.Minutes > 0 && o.Minutes < 10) {
+		return errors.New("--minutes: over 0 and under 10 are wanted")
+	}
+	return nil
+}
+
+// Run is one run of the sweeps.
+type Run struct {
+	Options
+	progress io.Writer
+	watch    *watcher
+	report   *Report
+	end      time.Time
+	full     bool // the machine bears no larger fleet
+}
+
+// job is one point of a sweep, still to be measured.
+type job struct {
+	point Point
+	need  time.Duration // about
+	do    func(context.Context, *Point) error
+}
+
+// Start checks what is asked for, and does nothing yet.
+func Start(o Options, progress io.Writer) (*Run, error) {
+	if o.Quick {
+		o = o.quickened()
+	}
+	if err := o.check(); err != nil {
+		return nil, err
+	}
+	m, err := machine()
+	if err != nil {
+		return nil, err
+	}
+	if err := reckon(o, m); err != nil {
+		return nil, err
+	}
+	r := &Run{Options: o, progress: progress, watch: newWatcher(),
+		report: &Report{Format: format, Date: time.Now().UTC(), Seed: o.Seed, Commit: commit(), Flags: o, Machine: m,
+			Notes: readings()}}
+	return r, nil
+}
+
+// commit is that of the code, if the build or the folder tell it.
+func commit() string {
+	if info, ok := debug.ReadBuildInfo(); ok {
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				return s.Value
+			}
+		}
+	}
+	out, err := exec.Command("git", "rev-parse", "HEAD").Output()
+	if err != nil { // not a clone
+		return ""
+	}
+	return strings.TrimSpace(string(out))
+}
+
+var errFailed = errors.New("points failed")
+
+// Do measures all points, one after another. The report holds what has been measured, also where it ends early; the
+// error says why in one line.
+func (r *Run) Do(ctx context.Context) (*Report, error) {
+	began := time.Now()
+	r.end = began.Add(time.Duration(r.Minutes * float64(time.Minute)))
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	ctx, cancel := context.WithDeadlineCause(ctx, r.end.Add(-shutdownTime), errors.New("the time is up"))
+	defer cancel()
+	watched := make(chan struct{})
+	life, over := context.WithCancel(context.Background())
+	go func() {
+		defer close(watched)
+		r.watch.run(life, uint64(memoryPart*float64(r.report.Machine.Memory)), stop)
+	}()
+	failed := r.points(ctx)
+	r.watch.sample()
+	over()
+	<-watched
+	r.report.Ended = "whole"
+	err := context.Cause(ctx)
+	if err == nil && failed > 0 {
+		err = fmt.Errorf("%d %w", failed, errFailed)
+	}
+	if err != nil {
+		r.report.Ended = "partial: " + err.Error()
+	}
+	r.report.Fits = fits(r.report.Points)
+	r.report.Used = Used{r.watch.peak, r.watch.procs, used(wholeProcess).Seconds(), time.Since(began).Seconds()}
+	return r.report, err
+}
+
+func (r *Run) points(ctx context.Context) (failed int) {
+	jobs := r.jobs()
+	for i, j := range jobs {
+		p := j.point
+		r.report.Points = append(r.report.Points, &p)
+		switch {
+		case ctx.Err() != nil:
+			p.Skipped = context.Cause(ctx).Error()
+			continue
+		case time.Until(r.end)-shutdownTime < j.need:
+			p.Skipped = "no time is left for it"
+			r.say("[%d/%d] %s %s: %s", i+1, len(jobs), p.Sweep, p.Label, p.Skipped)
+			continue
+		}
+		r.say("[%d/%d] %s %s", i+1, len(jobs), p.Sweep, p.Label)
+		began := time.Now()
+		err := j.do(ctx, &p)
+		p.Seconds = time.Since(began).Seconds()
+		if err != nil && ctx.Err() != nil {
+			p.Notes = append(p.Notes, "cut short: "+context.Cause(ctx).Error())
+			p.Against = ""
+		} else if err != nil {
+			failed++
+			p.Skipped = "failed: " + err.Error()
+			r.say("  %s", p.Skipped)
+		}
+		for _, n := range p.Notes {
+			r.say("  %s", n)
+		}
+	}
+	return failed
+}
+
+func (r *Run) say(form string, args ...any) {
+	fmt.Fprintf(r.progress, form+"\n", args...) // progress that can't be shown stops nothing
+}
+
+// shortened is how long a point may take: less in a quick run.
+func (r *Run) shortened(d time.Duration) time.Duration {
+	if r.Quick {
+		return d / 4
+	}
+	return d
+}
+
+// jobs are all points, in the order of the sweeps.
+func (r *Run) jobs() []job {
+	sweeps := map[string]func() []job{"backends": r.backendsSweep, "ingresses": r.ingressesSweep,
+		"tenants": r.tenantsSweep, "changes": r.changesSweep, "zone": r.zoneSweep, "compare": r.compareSweep}
+	var list []job
+	for _, name := range Sweeps() {
+		if slices.Contains(r.Sweep, name) {
+			list = append(list, sweeps[name]()...)
+		}
+	}
+	return list
+}
