--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -40,6 +40,7 @@
 	LineEvery      time.Duration // empty line of an open watch; 0: 2 s
 	Indent         bool          // lists and changes stand on several lines
 	Keep           int           // changes remembered for since; a caller further behind gets all; 0: every one
+	Rev            int64         // the version before the first list
 }
 
 // DiscoveryStats is what a Discovery saw so far.
@@ -93,13 +94,13 @@
 	Targets []Target `json:"targets"`
 }
 
-// NewDiscovery returns a service with an empty list of version 0.
+// NewDiscovery returns a service with an empty list.
 func NewDiscovery(cfg DiscoveryConfig) *Discovery {
 	if cfg.LineEvery == 0 {
 		cfg.LineEvery = lineEvery
 	}
 	d := &Discovery{cfg: cfg, line: newLine(cfg.CallsPerSecond, 0), news: make(chan struct{}), targets: []Target{},
-		calls: newSignals(), watches: newSignals()}
+		rev: cfg.Rev, floor: cfg.Rev, calls: newSignals(), watches: newSignals()}
 	d.server = &http.Server{Handler: d, ErrorLog: log.New(io.Discard, "", 0)}
 	return d
 }
--- a/internal/standin/discovery_test.go
+++ b/internal/standin/discovery_test.go
@@ -149,6 +149,20 @@
 	})
 }
 
+// Versions go on from the one that is given.
+func TestFirstVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegistry(t, DiscoveryConfig{Rev: 40})
+		lines := r.watch(t, 40)
+		if got := told(t, <-lines); got != "41 true a:SERVING b:SERVING" {
+			t.Fatalf("list %s", got)
+		}
+		if rev := r.Change(Target{UID: "c"}); rev != 42 {
+			t.Fatalf("version %d", rev)
+		}
+	})
+}
+
 func TestPlainCall(t *testing.T) {
 	for _, c := range []struct {
 		indent bool
