Ingress tests: the registry and the backends that always answer are stand-ins

registry() and nine backends that only ever served (and those that serve their own name) are now package standin's; no assertion changes. The stand-in is stricter: it answers a command in a form that no client sends with -SYNTAX, and such a test fails then. Its watch brings a first object and an empty line every 2 s, where the old one said nothing.

Left as they are: fakes that misbehave on purpose or answer by the order of commands, all of the counter's (they are scripted, byte by byte), and the backend of TestGoneBackendIsForgotten, whose attempt holds no real command, so that a stand-in doesn't serve it. All tests of both packages passed with the race detector on two processors.

--- a/internal/ingress/crossing_test.go
+++ b/internal/ingress/crossing_test.go
@@ -28,9 +28,7 @@
 func valueOf(s string) string { return fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", len(s), s) }
 
 // named is a backend that serves its own name.
-func named(t *testing.T, name string) *backendFake {
-	return newBackend(t, func(int, []string, net.Conn) string { return valueOf(name) })
-}
+func named(t *testing.T, name string) *backendFake { return serving(t, name) }
 
 // writeFields is a request that may not be repeated.
 const writeFields = "c=write,t=p,d=50000,units=1,spread=1,first=0"
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -21,6 +21,7 @@
 
 	"github.com/tidwall/redcon"
 
+	"larchwick/internal/standin"
 	"larchwick/internal/wire"
 	"larchwick/logic"
 )
@@ -111,25 +112,82 @@
 
 const served = "*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n"
 
-// registry is discovery's agent: a list, and a watch that tells what is sent to changes.
-func registry(t *testing.T, list Fleet, changes <-chan Fleet) string {
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Query().Get("follow") == "" {
-			json.NewEncoder(w).Encode(list)
-			return
+// serving is a backend that serves every request with a value; a command in a form that no client sends fails the test.
+func serving(t *testing.T, value string) *backendFake {
+	f := &backendFake{}
+	b := standin.NewBackend(standin.BackendConfig{Value: func(args []string) string {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.commands = append(f.commands, args)
+		return value
+	}})
+	ln := loopback(t)
+	f.addr = ln.Addr().String()
+	go b.Serve(&countedListener{ln, &f.conns})
+	t.Cleanup(func() {
+		b.Close()
+		if n := b.Stats().Odd; n > 0 {
+			t.Errorf("%d commands in odd forms", n)
 		}
+	})
+	return f
+}
+
+// countedListener counts the connections that it accepts.
+type countedListener struct {
+	net.Listener
+	conns *atomic.Int32
+}
+
+func (l *countedListener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err == nil {
+		l.conns.Add(1)
+	}
+	return nc, err
+}
+
+func loopback(t *testing.T) net.Listener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ln
+}
+
+// registry is discovery's agent: a list, and a watch that tells what is sent to changes, as versions of its own count.
+func registry(t *testing.T, list Fleet, changes <-chan Fleet) string {
+	d, ln, done := standin.NewDiscovery(standin.DiscoveryConfig{Rev: list.Rev - 1}), loopback(t), make(chan struct{})
+	d.SetList(standinTargets(list))
+	go d.Serve(ln)
+	go func() {
 		for {
-			w.(http.Flusher).Flush()
 			select {
-			case <-r.Context().Done():
+			case <-done:
 				return
 			case f := <-changes:
-				json.NewEncoder(w).Encode(f)
+				if f.All {
+					d.SetList(standinTargets(f))
+				} else {
+					d.Change(standinTargets(f)...)
+				}
 			}
 		}
-	}))
-	t.Cleanup(s.Close)
-	return strings.TrimPrefix(s.URL, "http://")
+	}()
+	t.Cleanup(func() {
+		close(done)
+		d.Close()
+	})
+	return ln.Addr().String()
+}
+
+func standinTargets(f Fleet) []standin.Target {
+	targets := make([]standin.Target, len(f.Targets))
+	for i, t := range f.Targets {
+		targets[i] = standin.Target(t)
+	}
+	return targets
 }
 
 func fleetOf(addrs ...string) Fleet {
@@ -233,7 +291,7 @@
 
 // An answered attempt must free its connection: once all of them were taken for given up.
 func TestConnectionIsReused(t *testing.T) {
-	be := newBackend(t, func(int, []string, net.Conn) string { return served })
+	be := serving(t, "value")
 	list := fleetOf(be.addr)
 	addr, _ := startIngress(t, testConfig(registry(t, list, nil), list))
 	nc, in := dial(t, addr)
@@ -274,7 +332,7 @@
 
 // The command, customer, id, key and body go on as they came; d becomes what is left of it.
 func TestCommandGoesOn(t *testing.T) {
-	be := newBackend(t, func(int, []string, net.Conn) string { return served })
+	be := serving(t, "value")
 	list := fleetOf(be.addr)
 	addr, _ := startIngress(t, testConfig(registry(t, list, nil), list))
 	nc, in := dial(t, addr)
@@ -297,7 +355,7 @@
 
 // Bad input gets one error line and reaches no backend; where the framing holds, the connection goes on.
 func TestBadInput(t *testing.T) {
-	be := newBackend(t, func(int, []string, net.Conn) string { return served })
+	be := serving(t, "value")
 	list := fleetOf(be.addr)
 	addr, _ := startIngress(t, testConfig(registry(t, list, nil), list))
 	long := strings.Repeat("x", maxValue+1)
@@ -479,7 +537,7 @@
 // A drain counts from when it was told: what waited for a connection then is not written any more. The module hears so at
 // once, after the list, and not only when the connection has come up.
 func TestDrainStopsWhatWaits(t *testing.T) {
-	be := newBackend(t, func(int, []string, net.Conn) string { return served })
+	be := serving(t, "value")
 	g := idleGateway(t, be.addr)
 	a := waitingAttempt(g, "s0")
 	g.place(a)
@@ -498,7 +556,7 @@
 
 // A cancelled attempt that still waits for its connection is moot, and is not written later.
 func TestCancelledWhileItWaits(t *testing.T) {
-	be := newBackend(t, func(int, []string, net.Conn) string { return served })
+	be := serving(t, "value")
 	g := idleGateway(t, be.addr)
 	a := waitingAttempt(g, "s0")
 	g.place(a)
@@ -512,7 +570,7 @@
 
 // An idle connection is closed before the backend would: a command that crossed that would be a reset.
 func TestIdleConnectionIsRetired(t *testing.T) {
-	be := newBackend(t, func(int, []string, net.Conn) string { return served })
+	be := serving(t, "value")
 	g := idleGateway(t, be.addr)
 	b := g.backends["s0"]
 	b.waiting = append(b.waiting, nil)
@@ -565,7 +623,7 @@
 // After a move the list is asked for at the new address at once, the watch goes on there, and no client or backend
 // notices.
 func TestMoveOfDiscovery(t *testing.T) {
-	be := newBackend(t, func(int, []string, net.Conn) string { return served })
+	be := serving(t, "value")
 	list := fleetOf(be.addr)
 	list.Rev = 2
 	from, to := registry(t, fleetOf(), nil), registry(t, list, nil)
@@ -969,7 +1027,7 @@
 // Clients that say nothing, or half a command, are closed within 3 s, those that ask once and stay a little after 2 s;
 // while hundreds of them sit there, usual clients still get in.
 func TestSilentClients(t *testing.T) {
-	be := newBackend(t, func(int, []string, net.Conn) string { return served })
+	be := serving(t, "value")
 	list := fleetOf(be.addr)
 	cfg := testConfig(registry(t, list, nil), list)
 	cfg.Sockets = 128 // 48 for clients
@@ -1018,7 +1076,7 @@
 
 // A request's id is taken until its time is up, also once it has been answered: whoever copies it is not served.
 func TestCopiedID(t *testing.T) {
-	be := newBackend(t, func(int, []string, net.Conn) string { return served })
+	be := serving(t, "value")
 	list := fleetOf(be.addr)
 	addr, _ := startIngress(t, testConfig(registry(t, list, nil), list))
 	nc, in := dial(t, addr)
