Hold the cold sum also where little but cold servers is left

Phases and copies were not changed.

Cause: coldRoom divided answers that warm servers had given by the capacity of now, which is small once all are cold, so the space "scaled to warmth" was not; and flow, read as an answer comes, is one a second at least, which 300 thin gateways add up. countFlow now keeps the capacity over the same time as the answers, and reads the rate before the answer counts. The rate also never looked at the multiple that the settings allow: it is 0.375 of that at most, 1.5 at 4 as before.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -45,6 +45,7 @@
 	failsToBan    = 3                      // failures in a row that eject a server
 	handshakeWait = 10.0                   // mean waits that one handshake is worth, times its price
 	coldRate      = 1.5                    // sends to a cold server, in what a warm one so small answers
+	coldPart      = 0.375                  // the same at most, in what the settings let a cold one get
 	forgetAims    = 8.0                    // longest aims after which half of a slowness is forgotten
 )
 
@@ -77,6 +78,8 @@
 	fleet   []*server
 	flow    float64 // answers a second to this gateway
 	flowAt  time.Duration
+	flowCap float64 // capacity that they came from, over the same time
+	perWarm float64 // answers a second for each warm server, as of the last
 
 	warm, linkedShare float64 // the fleet, in warm servers; part of the warm that are linked
 	capacityAt        time.Duration
@@ -714,8 +717,7 @@
 		c.mean += 0.02 * (clipped - c.mean)
 		g.lag += 0.05 * (clipped - g.lag)
 		s.fails, s.banned, s.lastDone = 0, 0, g.now
-		g.flow = 1 + g.flow*math.Exp(-(g.now-g.flowAt).Seconds())
-		g.flowAt = g.now
+		g.countFlow()
 	} else {
 		s.fails++
 		if s.fails >= failsToBan {
@@ -935,6 +937,16 @@
 	return max(g.warm, g.set.ColdShare, 0.01)
 }
 
+// countFlow adds an answer to the flow and weighs it with the capacity of the time that it is from: where all
+// servers turn cold at once, what they did when warm is no measure of the capacity left. The rate is read
+// before the answer counts: looked at only when one comes, a thin flow would seem one a second at least.
+func (g *Gateway) countFlow() {
+	left, c := math.Exp(-(g.now - g.flowAt).Seconds()), g.capacity()
+	g.flowCap = c + (g.flowCap-c)*left
+	g.perWarm = g.flow * left / g.flowCap
+	g.flow, g.flowAt = 1+g.flow*left, g.now
+}
+
 // coldRoom spaces sends to a cold server by what warm ones answer here, scaled to its warmth, so that the sum
 // over all gateways stays within it; the first comes at a random part of the space.
 func (g *Gateway) coldRoom(s *server) bool {
@@ -942,6 +954,7 @@
 	if w >= 1 {
 		return true
 	}
-	rate := coldRate * w * max(g.flow/g.capacity(), startPerHost/float64(g.set.Gateways))
+	most := min(coldRate, coldPart*cmp.Or(g.set.FallMultiple, math.Inf(1)))
+	rate := most * w * max(g.perWarm, startPerHost/float64(g.set.Gateways))
 	return (g.now - max(s.lastSent, s.Started)).Seconds() >= s.phase/rate
 }
