--- a/internal/standin/discovery_test.go
+++ b/internal/standin/discovery_test.go
@@ -149,6 +149,20 @@
 	})
 }
 
+// Versions go on from the one that is given.
+func TestFirstVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegistry(t, DiscoveryConfig{Rev: 40})
+		lines := r.watch(t, 40)
+		if got := told(t, <-lines); got != "41 true a:SERVING b:SERVING" {
+			t.Fatalf("list %s", got)
+		}
+		if rev := r.Change(Target{UID: "c"}); rev != 42 {
+			t.Fatalf("version %d", rev)
+		}
+	})
+}
+
 func TestPlainCall(t *testing.T) {
 	for _, c := range []struct {
 		indent bool
@@ -304,7 +318,7 @@
 		go func() { lost <- r.callAll(t, time.Hour, time.Hour, time.Hour) }()
 		time.Sleep(500 * time.Millisecond)
 		r.SetState(Silent)
-		time.Sleep(10 * time.Second)
+		time.Sleep(700 * time.Millisecond) // the turn that had begun is over, those of the others would not be
 		r.SetState(Up)
 		if got := r.callAll(t, time.Hour); got[0] != (ended{0, "200 OK", time.Second}) {
 			t.Fatalf("after the return: %v", got)
