Keep a bounded, even subset of a long list, read as a stream

Seen, one process before 200,000 backends (Me 4711 of 6,400, a core of its own): the old code left the agent's list aside (over 1 MiB), asked for it again for good, which took 100% of a core, and held 136 MB (154 at most), ready after 3.3 s.

Design: logic/subset.go, deterministic subsetting on a ring of hashes: an ingress's arc begins at its point of the van der Corput sequence, a backend is kept where its hash lies in the arc. Each entry is decided alone, so the list is read entry by entry (list.go) and no more than the subset is held (members.go); changes are applied one by one, and what is told of a held backend counts in any form, a deletion without its zone too. Arcs narrow as more are held and widen when few are, which reads the whole list again, spread by the pauses. The configuration's list is read as a stream as well, twice, as the settings may stand behind it. Up to 1,024 backends all are kept, so nothing changes at today's sizes.

The own zone has four times the arc only where crossing is priced; else all zones alike.

A choice looks at 256 backends at most for a first attempt (TestServersThatAChoiceLooksAt), at all that are kept for a further one: with the sample alone it took the same server again (seen in TestChoiceOfARareServer). What was divided by all gateways, the window's start and the floor of the cold ramp, is divided by those that share a server. The cold sum holds with subsets too: five cells of 300 gateways that keep 25 of 400 servers.

--- a/cmd/hitchspring/main.go
+++ b/cmd/hitchspring/main.go
@@ -2,16 +2,19 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"strconv"
+	"strings"
 	"syscall"
 
 	"larchwick/internal/ingress"
@@ -26,19 +29,80 @@
 	}
 }
 
-// configFile is the form of the configuration.
+// configFile is the form of the configuration, but for the list of known backends, which may be long: it is read as a stream.
 type configFile struct {
-	Listen    string        `json:"listen"`
-	Discovery string        `json:"discovery"`
-	Counter   string        `json:"counter"`
-	Seed      string        `json:"seed"`
-	Known     ingress.Fleet `json:"known"`
+	Listen    string
+	Discovery string
+	Counter   string
+	Seed      string
 	Limits    struct {
 		Cores    float64 `json:"cores"`
 		MemoryMB int64   `json:"memory_mb"`
 		Sockets  int     `json:"sockets"`
-	} `json:"limits"`
-	Settings json.RawMessage `json:"settings"`
+	}
+	Settings json.RawMessage
+}
+
+// field is where the value of a key goes; nil: it is not known.
+func (f *configFile) field(key string) any {
+	switch strings.ToLower(key) {
+	case "listen":
+		return &f.Listen
+	case "discovery":
+		return &f.Discovery
+	case "counter":
+		return &f.Counter
+	case "seed":
+		return &f.Seed
+	case "limits":
+		return &f.Limits
+	case "settings":
+		return &f.Settings
+	}
+	return nil
+}
+
+// read reads the file from its beginning; known reads the list of known backends.
+func (f *configFile) read(file io.ReadSeeker, known func(*json.Decoder) error) error {
+	if _, err := file.Seek(0, io.SeekStart); err != nil {
+		return err
+	}
+	in := json.NewDecoder(file)
+	err := f.decode(in, known)
+	if err == nil && in.More() {
+		return errors.New("something stands behind the configuration")
+	}
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return errors.New("unexpected end of JSON input")
+	}
+	return err
+}
+
+func (f *configFile) decode(in *json.Decoder, known func(*json.Decoder) error) error {
+	if begin, err := in.Token(); err != nil || begin != json.Delim('{') {
+		return cmp.Or(err, errors.New("an object is wanted"))
+	}
+	for in.More() {
+		token, err := in.Token()
+		if err != nil {
+			return err
+		}
+		key, _ := token.(string)
+		to := f.field(key)
+		switch {
+		case strings.EqualFold(key, "known"):
+			err = known(in)
+		case to == nil:
+			err = in.Decode(new(json.RawMessage))
+		default:
+			err = in.Decode(to)
+		}
+		if err != nil {
+			return fmt.Errorf("%s: %w", key, err)
+		}
+	}
+	_, err := in.Token()
+	return err
 }
 
 // load reads the configuration file and checks it whole.
@@ -47,11 +111,12 @@
 	fail := func(err error) (ingress.Config, *configFile, error) {
 		return ingress.Config{}, nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
-	text, err := os.ReadFile(path)
+	file, err := os.Open(path)
 	if err != nil {
 		return fail(err)
 	}
-	if err := json.Unmarshal(text, &f); err != nil {
+	defer file.Close()
+	if err := f.read(file, ingress.SkipKnown); err != nil {
 		return fail(err)
 	}
 	if f.Listen == "" || f.Discovery == "" || len(f.Settings) == 0 {
@@ -66,7 +131,14 @@
 		return fail(err)
 	}
 	cfg := ingress.Config{Listen: f.Listen, Discovery: f.Discovery, Counter: f.Counter, Seed: seed,
-		Sockets: f.Limits.Sockets, Memory: int(f.Limits.MemoryMB << 20), Known: f.Known, Settings: *settings, Connections: conns}
+		Sockets: f.Limits.Sockets, Memory: int(f.Limits.MemoryMB << 20), Settings: *settings, Connections: conns}
+	// What is kept of the list depends on the settings, wherever they stand in the file.
+	if err := new(configFile).read(file, func(in *json.Decoder) (err error) {
+		cfg.Known, cfg.Subset, err = ingress.ReadKnown(in, *settings, log)
+		return err
+	}); err != nil {
+		return fail(err)
+	}
 	if _, err := ingress.New(cfg, log); err != nil { // one that is not run holds nothing
 		return fail(err)
 	}
--- a/internal/ingress/discovery.go
+++ b/internal/ingress/discovery.go
@@ -13,7 +13,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -40,7 +39,8 @@
 	askEvery    = 1500 * time.Millisecond // from the beginning of a call that brought nothing to that of the next, at most
 	moveSpread  = 500 * time.Millisecond  // over which a fleet that moves asks, at most
 
-	maxList   = 1 << 20
+	maxList   = 1 << 20 // bytes of an object before, between and behind its entries
+	listPart  = 10_000  // entries of a list that must come within the time of a silent watch
 	maxHeader = 16 << 10
 
 	// All ingresses then share one service of a fixed capacity, and calls that have waited for long fail: a fleet that
@@ -73,6 +73,7 @@
 
 var (
 	errNoList  = errors.New("a list has a version and targets")
+	errSparse  = errors.New("more backends can be held: the whole list is wanted")
 	errTooMuch = fmt.Errorf("a list of more than %d bytes", maxList)
 )
 
@@ -81,8 +82,12 @@
 	Rev     int64    `json:"rev"`
 	All     bool     `json:"all"`
 	Targets []Target `json:"targets"`
+	Sharers float64  `json:"-"` // ingresses that share each of them, about; 0: all
 }
 
+// stateGone is the state of a backend that is gone; it stands only among changes.
+const stateGone = "DELETED"
+
 // Target is one backend of the list.
 type Target struct {
 	UID      string  `json:"uid"`
@@ -101,7 +106,7 @@
 	switch t.State {
 	case "SERVING":
 		s.State = logic.Running
-	case "DELETED":
+	case stateGone:
 		s.State = logic.Gone
 	}
 	return s
@@ -115,14 +120,17 @@
 	moves  latest
 	post   func(event)
 	pace   pace
-	rng    *rand.Rand    // of the goroutine that asks
+	rng    *rand.Rand // of the goroutine that asks, as the next two are
+	known  *members
+	entry  func()        // before each entry that is read
 	first  chan struct{} // closed after the first list, or when that failed
 	log    *slog.Logger
 }
 
 func newDiscovery(addr string, rev int64, p pace, post func(event), log *slog.Logger) *discovery {
 	return &discovery{url: listURL(addr), rev: rev, pace: p, moves: newLatest(), post: post, log: log,
-		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		rng:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		known: newMembers(logic.Settings{Gateways: 1}, log), entry: func() {},
 		client: &http.Client{Transport: &http.Transport{DisableCompression: true, MaxResponseHeaderBytes: maxHeader},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }},
 		first: make(chan struct{})}
@@ -169,10 +177,15 @@
 		wait(ctx, d.upTo(spread))
 		return
 	}
+	d.whole(ctx)
+	listed()
+}
+
+// whole tries to read the whole list; the watch brings what is missing after a failure.
+func (d *discovery) whole(ctx context.Context) {
 	if err := d.list(ctx); err != nil && ctx.Err() == nil {
-		d.log.Warn("discovery: no list yet", "err", err)
+		d.log.Warn("discovery: no list", "err", err)
 	}
-	listed()
 }
 
 // upTo is a random time below most.
@@ -184,6 +197,9 @@
 func (d *discovery) follow(ctx context.Context) {
 	for pause := d.pace.first; ctx.Err() == nil; pause = min(2*pause, d.pace.longest) {
 		began := time.Now()
+		if d.known.wanting {
+			d.whole(ctx)
+		}
 		err := d.watch(ctx)
 		if ctx.Err() != nil {
 			return
@@ -206,14 +222,18 @@
 
 // list brings the whole list once.
 func (d *discovery) list(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, cmp.Or(d.pace.hedge, d.pace.answer)) // the watch brings it too
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	limit := time.AfterFunc(cmp.Or(d.pace.hedge, d.pace.answer), cancel) // the watch brings it too
+	defer limit.Stop()
 	body, err := d.get(ctx, d.url)
 	if err != nil {
 		return err
 	}
 	defer body.Close()
-	return d.next(json.NewDecoder(&stream{body: body, heard: func() {}, left: maxList}))
+	in := &stream{body: body, heard: func() {}, left: maxList}
+	d.entry = in.entries(limit, d.pace.silence)
+	return d.next(json.NewDecoder(in))
 }
 
 // watch follows the changes; it always ends with an error.
@@ -225,12 +245,16 @@
 	defer w.close()
 	defer w.body.Close()
 	in := &stream{body: w.body, heard: func() { w.limit.Reset(d.pace.silence) }}
+	d.entry = in.entries(w.limit, d.pace.silence)
 	for objects := json.NewDecoder(in); ; {
 		in.heard()
 		in.inside, in.left = false, maxList
 		if err := d.next(objects); err != nil {
 			return fmt.Errorf("watch: %w", err)
 		}
+		if d.known.wants() {
+			return errSparse
+		}
 	}
 }
 
@@ -303,12 +327,24 @@
 }
 
 // stream is what a watch brings: objects, which may stand on several lines, and empty lines between them. An object
-// that has begun must end before the watch counts as silent, and within its bytes.
+// that has begun must end before the watch counts as silent, but for a very long one, which must go on by listPart entries
+// until then. Each entry, and what is none, has a bound of its own.
 type stream struct {
 	body   io.Reader
 	heard  func()
 	inside bool // an object has begun
-	left   int  // bytes that it may still have
+	left   int  // bytes that may still come before its next entry
+}
+
+// entries returns what is called before each entry of an object; the limit of a long list is reset with its parts.
+func (s *stream) entries(limit *time.Timer, more time.Duration) func() {
+	n := 0
+	return func() {
+		s.left = maxList
+		if n++; n%listPart == 0 {
+			limit.Reset(more)
+		}
+	}
 }
 
 func (s *stream) Read(p []byte) (int, error) {
@@ -343,46 +379,30 @@
 	return resp.Body, nil
 }
 
-// next reads one list or change and passes it on.
+// next reads one list or change and passes on what is held of it.
 func (d *discovery) next(objects *json.Decoder) error {
-	var f struct {
-		Rev     *int64   `json:"rev"`
-		All     bool     `json:"all"`
-		Targets []Target `json:"targets"`
-	}
-	if err := objects.Decode(&f); err != nil {
-		return fmt.Errorf("list: %w", err)
+	h, f, err := d.known.read(objects, d.entry)
+	if err != nil {
+		return err
 	}
-	if f.Rev == nil || f.Targets == nil { // some other answer: it would empty the list
+	if h.Rev == nil || !h.listed { // some other answer: it would empty the list
 		return errNoList
 	}
-	if *f.Rev < d.rev { // it would revive what is gone
-		d.log.Warn("discovery: an older list is left aside", "rev", *f.Rev, "held", d.rev)
+	if f.Rev < d.rev { // it would revive what is gone
+		d.log.Warn("discovery: an older list is left aside", "rev", f.Rev, "held", d.rev)
 		return nil
 	}
-	d.rev = *f.Rev
-	d.post(Fleet{Rev: d.rev, All: f.All, Targets: f.Targets}.usable(d.log))
+	d.rev = f.Rev
+	d.post(d.known.apply(f))
 	return nil
 }
 
-// usable is the list without the entries that say nothing.
-func (f Fleet) usable(log *slog.Logger) Fleet {
-	f.Targets = slices.DeleteFunc(slices.Clone(f.Targets), func(t Target) bool {
-		err := t.check()
-		if err != nil {
-			log.Warn("an entry of the list is left aside", "err", err)
-		}
-		return err != nil
-	})
-	return f
-}
-
 // check says what makes an entry useless. One that tells only that a backend is gone needs no address.
 func (t Target) check() error {
 	if t.UID == "" {
 		return errors.New("no id")
 	}
-	if _, _, err := net.SplitHostPort(t.Endpoint); err != nil && t.State != "DELETED" {
+	if _, _, err := net.SplitHostPort(t.Endpoint); err != nil && t.State != stateGone {
 		return fmt.Errorf("%s: %w", t.UID, err)
 	}
 	if t.BootMS < 0 || t.BootMS > math.MaxInt64/int64(time.Millisecond) {
--- a/internal/ingress/gateway.go
+++ b/internal/ingress/gateway.go
@@ -47,6 +47,7 @@
 	Sockets                    int // descriptors that it may hold
 	Memory                     int // bytes that it may use; 0: not told
 	Known                      Fleet
+	Subset                     *logic.Subset // that Known was read with; nil: Known is whole
 	Settings                   logic.Settings
 	Connections                wire.Connections
 }
@@ -149,6 +150,10 @@
 	g.counter = newCounter(cfg.Counter, cfg.Settings.CounterTimeout, g.post)
 	g.disc = newDiscovery(cfg.Discovery, cfg.Known.Rev,
 		paceOf(cfg.Settings.AskForFleet, cfg.Settings.Gateways, len(cfg.Known.Targets) > 0), g.post, log)
+	g.disc.known = newMembers(cfg.Settings, log)
+	if cfg.Subset != nil {
+		g.disc.known.subset = cfg.Subset
+	}
 	g.disc.rng = rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Settings.Me)))
 	return g, nil
 }
@@ -195,6 +200,7 @@
 		g.spawned.Wait()
 	}()
 	g.ctx = life
+	known := len(g.cfg.Known.Targets)
 	g.known()
 	g.spawn(g.loop)
 	for _, l := range g.counter.links {
@@ -217,7 +223,7 @@
 	g.addr = ln.Addr()
 	close(g.ready)
 	g.log.Info("serving", "listen", g.cfg.Listen, "ingresses", g.cfg.Settings.Gateways,
-		"backends", len(g.cfg.Known.Targets), "asks discovery", g.cfg.Settings.AskForFleet)
+		"backends known", known, "asks discovery", g.cfg.Settings.AskForFleet)
 
 	<-ctx.Done()
 	g.log.Info("shutting down")
@@ -262,9 +268,8 @@
 // known hands the module the list that the configuration brought, before anything else.
 func (g *Gateway) known() {
 	g.now = g.clock(time.Now())
-	f := g.cfg.Known.usable(g.log)
-	f.All = true
-	g.handle(f)
+	g.handle(g.disc.known.start(g.cfg.Known))
+	g.cfg.Known.Targets = nil
 }
 
 // loop is the goroutine that owns all below.
@@ -564,7 +569,7 @@
 // --- the list and the counter ---
 
 func (g *Gateway) fleet(f Fleet) {
-	ev := logic.FleetChanged{Whole: f.All}
+	ev := logic.FleetChanged{Whole: f.All, Sharers: f.Sharers}
 	if f.All {
 		for _, be := range g.backends {
 			be.State = logic.Gone
--- a/internal/subsets/subsets.go
+++ b/internal/subsets/subsets.go
@@ -21,14 +21,14 @@
 	Gateways    int
 	Most, Limit int             // as of logic.NewSubset
 	Zone        func(g int) int // a gateway's zone
-	ZoneAware   bool            // the gateways know it
+	ZoneAware   bool            // the gateways know it, and pay for crossing
 }
 
 // Subset is that of one gateway.
 func (p Plan) Subset(gateway int) *logic.Subset {
 	set := logic.Settings{Me: gateway, Gateways: p.Gateways}
 	if p.ZoneAware {
-		set.Zone = ZoneName(p.Zone(gateway))
+		set.Zone, set.CrossZonePrice = ZoneName(p.Zone(gateway)), 1
 	}
 	return logic.NewSubset(set, p.Most, p.Limit)
 }
--- a/logic/api.go
+++ b/logic/api.go
@@ -165,6 +165,7 @@
 		Whole   bool // the entire list, else changes
 		Failed  bool // asking failed; the old list holds
 		Servers []Server
+		Sharers float64 // gateways that share each server, about; 0: all, as the list is whole
 	}
 	// TimerFired answers a SetTimer.
 	TimerFired struct{}
--- a/logic/cold_test.go
+++ b/logic/cold_test.go
@@ -23,6 +23,7 @@
 	gateways, servers int
 	each              float64 // what a warm server answers, requests a second
 	uneven            bool    // a tenth of the gateways have half of the traffic
+	keeps             int     // servers that a gateway keeps about, as of Subset; 0: all
 	coldCase
 }
 
@@ -37,8 +38,8 @@
 }
 
 func (c coldCell) String() string {
-	return fmt.Sprintf("%d gateways, uneven %v, %d servers of %v a second, %+v", c.gateways, c.uneven, c.servers, c.each,
-		c.coldCase)
+	return fmt.Sprintf("%d gateways, uneven %v, keep %d of %d servers of %v a second, %+v", c.gateways, c.uneven,
+		cmp.Or(c.keeps, c.servers), c.servers, c.each, c.coldCase)
 }
 
 // work is an attempt at a server.
@@ -81,6 +82,7 @@
 	share   []float64 // cumulative, of the traffic
 	servers map[ServerID]*coldServer
 	cold    []*coldServer
+	kept    map[*rig]*kept
 	due     map[time.Duration][]coldEvent
 	open    map[RequestID]*coldRequest
 	asked   RequestID
@@ -97,7 +99,7 @@
 
 func newColdDay(t *testing.T, c coldCell, seed uint64) *coldDay {
 	d := &coldDay{coldCell: c, t: t, set: settings(), rng: rand.New(rand.NewPCG(seed, 11)), seed: seed, now: time.Minute,
-		servers: map[ServerID]*coldServer{}, due: map[time.Duration][]coldEvent{}, open: map[RequestID]*coldRequest{}}
+		servers: map[ServerID]*coldServer{}, kept: map[*rig]*kept{}, due: map[time.Duration][]coldEvent{}, open: map[RequestID]*coldRequest{}}
 	for i := range d.set.Classes {
 		d.set.Classes[i].Aim = sweepsPerAim * coldStep
 	}
@@ -127,10 +129,29 @@
 		d.t.Fatal(err)
 	}
 	r := &rig{T: d.t, g: g, now: d.now}
-	d.tell(r, FleetChanged{Whole: true, Servers: d.list()})
+	if d.keeps > 0 {
+		d.kept[r] = newKept(me, set.Gateways, "", d.keeps, d.coldCell.servers)
+	}
+	d.tell(r, d.part(r, FleetChanged{Whole: true, Servers: d.list()}))
 	return r
 }
 
+// part is what a gateway keeps of a list or a change.
+func (d *coldDay) part(r *rig, ev FleetChanged) FleetChanged {
+	k := d.kept[r]
+	if k == nil {
+		return ev
+	}
+	if ev.Whole {
+		for _, s := range ev.Servers {
+			k.add(s.ID, "")
+		}
+	}
+	ev.Servers = slices.DeleteFunc(slices.Clone(ev.Servers), func(s Server) bool { return !k.Holds(s.ID, "") })
+	ev.Sharers = k.Sharers(0, k.held())
+	return ev
+}
+
 func (d *coldDay) add(id ServerID, started time.Duration) *coldServer {
 	s := &coldServer{Server: Server{ID: id, State: Running, Started: started}, slots: max(1, int(d.each/15))}
 	d.servers[id] = s
@@ -295,7 +316,7 @@
 		if d.late {
 			at = d.now + time.Second + time.Duration(d.rng.Int64N(int64(4*time.Second)))
 		}
-		d.after(at, coldEvent{r: r, ev: FleetChanged{Servers: news}})
+		d.after(at, coldEvent{r: r, ev: d.part(r, FleetChanged{Servers: news})})
 	}
 }
 
@@ -389,6 +410,11 @@
 		{fresh: "half", lean: "slow"}, {fresh: "half", lean: "full"}, {fresh: "one", lean: "full"},
 		{fresh: "half", lean: "silent"}, {fresh: "all", multiple: 1.5}, {fresh: "all", restart: "all", multiple: 1.5}}
 	cells := []coldCell{{gateways: 300, servers: 200, each: 5, coldCase: coldCase{fresh: "quarter"}}}
+	for i, c := range []coldCase{{fresh: "one"}, {fresh: "quarter"}, {fresh: "all", restart: "all"}, {fresh: "same half"},
+		{fresh: "half", late: true}} {
+		cells = append(cells, coldCell{gateways: 300, servers: 400, each: []float64{5, 20}[i%2], uneven: i > 2, keeps: 25,
+			coldCase: c})
+	}
 	for i, c := range cases {
 		for _, cell := range sizes {
 			cell.coldCase, cell.uneven = c, i%2 > 0 && cell.gateways > 1
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -46,6 +46,7 @@
 	handshakeWait = 10.0                   // mean waits that one handshake is worth, times its price
 	coldRate      = 1.5                    // sends to a cold server, in what a warm one so small answers
 	coldPart      = 0.375                  // the same at most, in what the settings let a cold one get
+	mostLooked    = 256                    // servers that a choice looks at
 	forgetAims    = 8.0                    // longest aims after which half of a slowness is forgotten
 )
 
@@ -76,6 +77,7 @@
 
 	servers map[ServerID]*server
 	fleet   []*server
+	sharers float64 // gateways that share each of these, about
 	flow    float64 // answers a second to this gateway
 	flowAt  time.Duration
 	flowCap float64 // capacity that they came from, over the same time
@@ -134,7 +136,8 @@
 	}
 	g := &Gateway{set: set, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)), sweep: time.Second,
 		classes: map[string]*class{}, plans: map[string]*Plan{}, customers: map[string]*customer{},
-		requests: map[RequestID]*request{}, servers: map[ServerID]*server{}, askShare: 1}
+		requests: map[RequestID]*request{}, servers: map[ServerID]*server{}, askShare: 1,
+		sharers: float64(set.Gateways)}
 	for _, c := range set.Classes {
 		if c.Aim <= 0 || c.Deadline < c.Aim {
 			return nil, fmt.Errorf("logic: class %q: aim %v, deadline %v", c.Name, c.Aim, c.Deadline)
@@ -319,7 +322,7 @@
 	}
 }
 
-// blockRoom is what the block may take until it holds this gateway's share of the store, one request at least.
+// blockRoom is what the block may take until it holds the gateway's share of the store, one request at least.
 func (g *Gateway) blockRoom(c *customer) float64 {
 	return max(0, max(c.plan.Burst/float64(c.spread), g.set.MaxUnits, 1)-c.block)
 }
@@ -539,7 +542,7 @@
 
 // part is this gateway's part of a few attempts for each server: the window's start, the retries saved up.
 func (g *Gateway) part() float64 {
-	return max(1, startPerHost*float64(len(g.fleet))/float64(g.set.Gateways))
+	return max(1, startPerHost*float64(len(g.fleet))/g.sharers)
 }
 
 // hasRoom says whether the window lets another attempt out; below one they go one by one, with pauses.
@@ -613,7 +616,7 @@
 	if least > lateShareBad && float64(g.hit) >= max(min(3, fleet), localShare*min(n, fleet)) {
 		// Scarce evidence fills a round slowly: it then stands for all the round trips that have gone by.
 		trips := min(1+(g.now-g.round).Seconds()/max(g.lag, g.sweep.Seconds()), mostTrips)
-		g.window = max(g.window*math.Pow(narrowBy, trips), leastWindow, fleet/float64(g.set.Gateways))
+		g.window = max(g.window*math.Pow(narrowBy, trips), leastWindow, fleet/g.sharers)
 	}
 	g.good, g.bad, g.hit = 0, 0, 0
 	g.roundNo++
@@ -662,11 +665,25 @@
 // choose picks the server with the least expected wait among those that may take the request. Where many
 // gateways share the fleet nearly all servers have nothing out from here, and a cold one would always look
 // worse than a warm one: it takes part in as many choices as it is warm, and then counts as any other.
+//
+// For a first attempt it looks at an even sample of a long fleet, half of mostLooked at least, which has one
+// nearly as good as the best of all; for a further one, which may have to go to a cell, at every one.
 func (g *Gateway) choose(r *request) *server {
+	if every := (len(g.fleet) + mostLooked - 1) / mostLooked; every > 1 && len(r.attempts) == 0 {
+		if s := g.best(r, g.rng.IntN(every), every); s != nil {
+			return s
+		}
+	}
+	return g.best(r, 0, 1)
+}
+
+// best is the choice among the servers at the given places of the fleet.
+func (g *Gateway) best(r *request, from, every int) *server {
 	var best *server
 	bestScore := math.Inf(1)
 	anchor := r.anchor()
-	for _, s := range g.fleet {
+	for i := from; i < len(g.fleet); i += every {
+		s := g.fleet[i]
 		if anchor != nil && !sameGroup(r.class.Group, anchor.s, s) || !g.coldRoom(s) {
 			continue
 		}
@@ -831,8 +848,8 @@
 }
 
 // takeBack gives the units of a request that is over to the block where nothing of it has left the gateway:
-// its client went while it waited, or its server while it waited for a connection. What the block cannot take goes
-// back to the store: it has filled since, and old units on top would be more than the customer has.
+// its client went while it waited, or its server while it waited for a connection. What the block cannot take
+// goes back to the store: it has filled since, and old units on top would be more than the customer has.
 func (g *Gateway) takeBack(r *request) {
 	if c := r.cust; r.final && r.outs == 0 && !r.ran && (r.charged || r.leased) {
 		excess := max(0, r.Units-g.blockRoom(c))
@@ -904,6 +921,7 @@
 		}
 	}
 	slices.SortFunc(g.fleet, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
+	g.sharers = cmp.Or(ev.Sharers, float64(g.set.Gateways))
 	g.capacityAt = -g.sweep
 	if first {
 		g.window, g.retries = g.part(), g.part()
@@ -962,6 +980,6 @@
 		return true
 	}
 	most := min(coldRate, coldPart*cmp.Or(g.set.FallMultiple, math.Inf(1)))
-	rate := most * w * max(g.perWarm, startPerHost/float64(g.set.Gateways))
+	rate := most * w * max(g.perWarm, startPerHost/g.sharers)
 	return (g.now - max(s.lastSent, s.Started)).Seconds() >= s.phase/rate
 }
--- /dev/null
+++ b/logic/size_test.go
@@ -0,0 +1,101 @@
+package logic
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// counted counts the draws of a source: a choice draws once for each server that it looks at.
+type counted struct {
+	rand.Source
+	draws int
+}
+
+func (c *counted) Uint64() uint64 {
+	c.draws++
+	return c.Source.Uint64()
+}
+
+func longFleet(n int) (out []Server) {
+	for i := range n {
+		out = append(out, Server{ID: ServerID(fmt.Sprintf("s%06d", i)), State: Running, Cell: i / 4})
+	}
+	return out
+}
+
+// What a choice costs does not grow with the fleet, and today's fleets are looked at whole.
+func TestServersThatAChoiceLooksAt(t *testing.T) {
+	for _, n := range []int{1, 8, 200, mostLooked, mostLooked + 1, 1000, 1024, 4096, 20_000} {
+		r := newRig(t, settings(), longFleet(n)...)
+		src := &counted{Source: rand.NewPCG(1, 2)}
+		r.g.rng = rand.New(src)
+		for id := range RequestID(40) {
+			src.draws = 0
+			sends := only[Send](r.arrive(id+1, "read", "free"))
+			if len(sends) != 1 {
+				t.Fatalf("%d servers: sends %v", n, sends)
+			}
+			if looked := src.draws; looked > mostLooked+1 || n <= mostLooked && looked != n {
+				t.Fatalf("%d servers: %d looked at, want %d at most", n, looked, mostLooked)
+			}
+			r.tell(AttemptEnded{ID: id + 1, Server: sends[0].Server, Outcome: Done, Took: 20 * ms, Finished: true})
+		}
+	}
+}
+
+// The servers of a long fleet share the work as evenly as those of a short one.
+func TestLongFleetIsUsedEvenly(t *testing.T) {
+	const servers, each = 1000, 60
+	r := newRig(t, settings(), longFleet(servers)...)
+	sent := map[ServerID]int{}
+	for id := range RequestID(servers * each) {
+		r.now += ms
+		s := only[Send](r.arrive(id+1, "read", "free"))[0].Server
+		sent[s]++
+		r.tell(AttemptEnded{ID: id + 1, Server: s, Outcome: Done, Took: 20 * ms, Finished: true})
+		if id%10 == 0 {
+			r.tell(TimerFired{})
+		}
+	}
+	counts := []int{}
+	for _, n := range sent {
+		counts = append(counts, n)
+	}
+	if len(sent) != servers || slices.Max(counts) > 2*each {
+		t.Errorf("%d of %d servers used, the busiest %d times, the mean is %d", len(sent), servers, slices.Max(counts), each)
+	}
+}
+
+// Where the sample has no server that may take a request, all are looked at: work that may have run goes to its cell alone.
+func TestChoiceOfARareServer(t *testing.T) {
+	set := settings()
+	set.Classes[1].Deadline = time.Minute
+	for seed := range uint64(20) {
+		r := newRig(t, set, longFleet(4000)...)
+		r.g.rng = rand.New(rand.NewPCG(seed, 5))
+		q := Request{ID: 1, Class: "book", Plan: "free", Customer: "c", Units: 1, GiveUpAt: r.now + time.Minute}
+		s := only[Send](r.tell(Arrival{q}))[0].Server
+		got := only[Send](r.tell(AttemptEnded{ID: 1, Server: s, Outcome: Reset}))
+		if len(got) != 1 || r.g.servers[got[0].Server].Cell != r.g.servers[s].Cell || got[0].Server == s {
+			t.Fatalf("after %s: sends %v", s, got)
+		}
+	}
+}
+
+// A gateway's part of what all may do counts the gateways that share its servers, not all that there are.
+func TestPartOfASharedSubset(t *testing.T) {
+	set := settings()
+	set.Gateways = 6400
+	r := newRig(t, set)
+	r.tell(FleetChanged{Whole: true, Servers: longFleet(900), Sharers: 30})
+	if got, want := r.g.part(), startPerHost*900/30; got != want || r.g.window != want {
+		t.Errorf("part %v, window %v; want %v", got, r.g.window, want)
+	}
+	r.tell(FleetChanged{Whole: true, Servers: longFleet(200)})
+	if got, want := r.g.part(), 1.0; got != want {
+		t.Errorf("part %v of a whole list, want %v", got, want)
+	}
+}
--- a/logic/subset.go
+++ b/logic/subset.go
@@ -8,7 +8,7 @@
 const (
 	leastSharers  = 16.0 // gateways that should share a server, so that busy ones among them even out
 	stepsPerHalf  = 4.0  // levels that halve an arc: gateways a level apart differ by a fifth only
-	ownZoneLevels = 8    // the own zone's arc is four times the others'
+	ownZoneLevels = 8    // the own zone's arc is four times the others', where to cross costs something
 )
 
 // Subset says which servers of a long list this gateway keeps: deterministic subsetting on a ring of hashes,
@@ -23,6 +23,9 @@
 
 // NewSubset aims at up to most servers, or up to limit where it takes more for each to be shared enough.
 func NewSubset(set Settings, most, limit int) *Subset {
+	if set.CrossZonePrice <= 0 { // of all zones alike, which loads servers most evenly
+		set.Zone = ""
+	}
 	deepest := int(stepsPerHalf * math.Log2(max(float64(set.Gateways)/leastSharers, 1)))
 	return &Subset{set.Zone, bits.Reverse64(uint64(set.Me)), set.Gateways, 0, deepest, most, max(most, limit)}
 }
--- a/logic/subset_test.go
+++ b/logic/subset_test.go
@@ -16,7 +16,7 @@
 }
 
 func newKept(me, gateways int, zone string, most, limit int) *kept {
-	set := Settings{Me: me, Gateways: gateways, Zone: zone}
+	set := Settings{Me: me, Gateways: gateways, Zone: zone, CrossZonePrice: 1}
 	return &kept{Subset: NewSubset(set, most, limit), own: map[ServerID]string{},
 		others: map[ServerID]string{}}
 }
