--- a/logic/cold_test.go
+++ b/logic/cold_test.go
@@ -408,7 +408,10 @@
 		{fresh: "half", restart: "all"}, {fresh: "half", restart: "tenths"}, {fresh: "half", late: true},
 		{fresh: "few"}, {fresh: "quarter"}, {fresh: "quarter", restart: "all"}, {fresh: "quarter", late: true},
 		{fresh: "half", lean: "slow"}, {fresh: "half", lean: "full"}, {fresh: "one", lean: "full"},
-		{fresh: "half", lean: "silent"}, {fresh: "all", multiple: 1.5}, {fresh: "all", restart: "all", multiple: 1.5}}
+		{fresh: "half", lean: "silent"}, {fresh: "all", multiple: 1.5}, {fresh: "all", restart: "all", multiple: 1.5},
+		{fresh: "all", multiple: 2}, {fresh: "all", restart: "all", multiple: 2}, {fresh: "half", late: true, multiple: 2},
+		{fresh: "quarter", multiple: 2}, {fresh: "same half", load: 1.05, multiple: 2},
+		{fresh: "half", lean: "full", multiple: 2}}
 	cells := []coldCell{{gateways: 300, servers: 200, each: 5, coldCase: coldCase{fresh: "quarter"}}}
 	for i, c := range []coldCase{{fresh: "one"}, {fresh: "quarter"}, {fresh: "all", restart: "all"}, {fresh: "same half"},
 		{fresh: "half", late: true}} {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -45,7 +45,7 @@
 	failsToBan    = 3                      // failures in a row that eject a server
 	handshakeWait = 10.0                   // mean waits that one handshake is worth, times its price
 	coldRate      = 1.5                    // sends to a cold server, in what a warm one so small answers
-	coldPart      = 0.375                  // the same at most, in what the settings let a cold one get
+	coldPart      = 0.6                    // the same at most, in what the settings let a cold one get
 	mostLooked    = 256                    // servers that a choice looks at
 	forgetAims    = 8.0                    // longest aims after which half of a slowness is forgotten
 )
