Scale run: compare like with like, and say what the machine can't hold

Descriptors are reckoned before the start, children die with a run that is killed, and both kinds of ingress tell how uneven their choice of backends is.

--- a/internal/scale/backends.go
+++ b/internal/scale/backends.go
@@ -67,6 +67,15 @@
 		BootMS: b.list[i].started.Load() / int64(time.Millisecond)}
 }
 
+// toggled is one change: a backend, another one each time, begins to drain, and the next change takes that back.
+func (b *Backends) toggled(n int) ingress.Target {
+	state := "DRAINING"
+	if n%2 == 1 {
+		state = "SERVING"
+	}
+	return b.target(n/2*7%len(b.list), state)
+}
+
 func (b *Backends) of(id logic.ServerID) *modelled {
 	i, err := strconv.Atoi(string(id[2:]))
 	if err != nil || i >= len(b.list) {
--- a/internal/scale/client.go
+++ b/internal/scale/client.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -37,6 +38,7 @@
 	idle     []*clientConn
 	open     map[*clientConn]bool
 	beyond   *hdrhistogram.Histogram // time of the served ones, less the backend's work
+	failure  string                  // the last one
 	requests uint64
 }
 
@@ -92,6 +94,9 @@
 		c.refused.Add(1)
 	case strings.HasPrefix(answer, "-"):
 		c.failed.Add(1)
+		c.mu.Lock()
+		c.failure = answer[1:]
+		c.mu.Unlock()
 	default:
 		c.wrong.Add(1)
 	}
@@ -99,35 +104,60 @@
 
 // ask sends one command and returns the value, or an error line.
 func (c *clients) ask(ctx context.Context, command []byte) string {
-	nc, err := c.take(ctx)
-	if err != nil {
-		return "-" + err.Error()
+	if nc := c.kept(); nc != nil {
+		answer, err := c.exchange(nc, command)
+		if err == nil {
+			return answer
+		}
+		var late net.Error
+		if errors.As(err, &late) && late.Timeout() {
+			return "-" + err.Error()
+		} // else the peer closed it while it was idle: the request goes out one more time, on a new one
 	}
-	nc.SetDeadline(time.Now().Add(answerTime))
-	if _, err := nc.Write(command); err != nil {
-		c.drop(nc)
+	nc, err := c.dial(ctx)
+	if err != nil {
 		return "-" + err.Error()
 	}
-	answer, err := readReply(nc.in)
+	answer, err := c.exchange(nc, command)
 	if err != nil {
-		c.drop(nc)
 		return "-" + err.Error()
 	}
+	return answer
+}
+
+// exchange writes a command and reads its answer; a connection on which that went well is kept.
+func (c *clients) exchange(nc *clientConn, command []byte) (string, error) {
+	nc.SetDeadline(time.Now().Add(answerTime))
+	_, err := nc.Write(command)
+	answer := ""
+	if err == nil {
+		answer, err = readReply(nc.in)
+	}
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil {
+		nc.Close()
+		delete(c.open, nc)
+		return "", err
+	}
 	c.idle = append(c.idle, nc)
-	c.mu.Unlock()
-	return answer
+	return answer, nil
 }
 
-func (c *clients) take(ctx context.Context) (*clientConn, error) {
+// kept is a connection that was used before, if one is free.
+func (c *clients) kept() *clientConn {
 	c.mu.Lock()
-	if n := len(c.idle); n > 0 {
-		nc := c.idle[n-1]
-		c.idle = c.idle[:n-1]
-		c.mu.Unlock()
-		return nc, nil
+	defer c.mu.Unlock()
+	n := len(c.idle)
+	if n == 0 {
+		return nil
 	}
-	c.mu.Unlock()
+	nc := c.idle[n-1]
+	c.idle = c.idle[:n-1]
+	return nc
+}
+
+func (c *clients) dial(ctx context.Context) (*clientConn, error) {
 	d := net.Dialer{Timeout: dialTime}
 	raw, err := d.DialContext(ctx, "tcp", c.addr)
 	if err != nil {
@@ -140,13 +170,6 @@
 	return nc, nil
 }
 
-func (c *clients) drop(nc *clientConn) {
-	nc.Close()
-	c.mu.Lock()
-	delete(c.open, nc)
-	c.mu.Unlock()
-}
-
 func (c *clients) close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/scale/compare.go
+++ b/internal/scale/compare.go
@@ -23,24 +23,22 @@
 )
 
 const (
-	compareWork     = 5 * time.Millisecond // of every request, so that the rest of its time is what was added
-	compareTime     = 8 * time.Second
-	compareIdle     = 4 * time.Second
-	compareSettle   = 3 * time.Second
-	directTime      = 3 * time.Second
-	readyTime       = 15 * time.Second
-	endTime         = 5 * time.Second // from SIGTERM on: the longest deadline and more
-	realCores       = 2
-	realMemoryMB    = 256
-	realSockets     = 4096
-	backendSlots    = 1000 // none waits
-	compareSweep    = "real and hollow, the same point"
-	hollowOverReal  = "hollow / real"
-	requestCost     = "request: processor"
-	idleCost        = "idle second"
-	callsPerRequest = "counter calls for a request"
-	listBytesEach   = "discovery bytes for the start, each"
-	stateEach       = "memory, each"
+	compareWork    = 5 * time.Millisecond // of every request, so that the rest of its time is what was added
+	compareTime    = 8 * time.Second
+	compareIdle    = 4 * time.Second
+	compareSettle  = 3 * time.Second
+	readyTime      = 15 * time.Second
+	endTime        = 5 * time.Second // from SIGTERM on: the longest deadline and more
+	realCores      = 2
+	realMemoryMB   = 256
+	realSockets    = 4096
+	backendSlots   = 1000 // none waits
+	compareSweep   = "real and hollow, the same point"
+	hollowOverReal = "hollow / real"
+	requestCost    = "request: processor"
+	idleCost       = "idle second"
+	listBytesEach  = "discovery bytes for the start, each"
+	stateEach      = "memory, each"
 )
 
 func (r *Run) compareSweep() []job {
@@ -102,13 +100,15 @@
 		return err
 	}
 	f.rec.take()
+	sent := back.sent()
 	load, err := f.during(ctx, func() error { return pause(ctx, r.shortened(compareTime)) })
 	if err != nil {
 		return err
 	}
 	added, n := f.rec.take()[addedLatency], float64(r.Real)
+	_, busiest := spreadOf(sent, back.sent())
 	r.compared(p, comparison{requests: float64(load.tally.Requests), refused: float64(load.tally.Refused),
-		failed: float64(load.tally.Failed + load.tally.Unanswered), attempts: float64(load.tally.Sends),
+		failed: float64(load.tally.Failed + load.tally.Unanswered), attempts: float64(load.tally.Sends), busiest: busiest,
 		idle: idle.processor.Seconds() / idle.seconds / n, processor: load.processor, calls: load.calls,
 		listBytes: float64(listed.Discovery.Bytes) / n, memory: f.bytesEach(),
 		added: func(q float64) float64 { return float64(added.ValueAtQuantile(q)) / 1e6 }})
@@ -122,6 +122,7 @@
 	idle                                float64 // processor seconds a second, each
 	processor                           time.Duration
 	calls, listBytes, memory            float64
+	busiest                             float64                        // backend's attempts, in the mean of all
 	added                               func(quantile float64) float64 // ms
 }
 
@@ -130,11 +131,12 @@
 	p.add(theIngress, requestCost, "µs", c.processor.Seconds()*1e6/requests, uint64(requests))
 	p.add(theIngress, idleCost, "ms", c.idle*1000, 1)
 	p.add(theIngress, stateEach, "KB", c.memory/(1<<10), 1)
-	p.add(theIngress, callsPerRequest, "", c.calls/requests, uint64(requests))
+	p.add(theIngress, counterCalls, "", c.calls/requests, uint64(requests))
 	p.add(theIngress, listBytesEach, "KB", c.listBytes/(1<<10), 1)
 	p.add(theIngress, "added (p50)", "ms", c.added(50), uint64(requests))
 	p.add(theIngress, "added (p99)", "ms", c.added(99), uint64(requests))
 	p.add(theIngress, "attempts for a request", "", c.attempts/requests, uint64(requests))
+	p.add("backends", "attempts at the busiest, in means", "", c.busiest, uint64(c.attempts))
 	p.tell(theIngress, "refused", "%", 100*c.refused/requests)
 	p.tell(theIngress, "failed or not answered", "%", 100*c.failed/requests)
 	p.tell(theRun, "requests", "", c.requests)
@@ -146,6 +148,8 @@
 	dir      string
 	backends []*standin.Backend
 	targets  []ingress.Target
+	direct   string // address of a further backend, on no list
+	spare    *standin.Backend
 	ingress  []*realIngress
 }
 
@@ -179,11 +183,7 @@
 	}
 	c := comparison{idle: (after - before).Seconds() / idleFor.Seconds() / float64(r.Real),
 		listBytes: float64(listed.Discovery.Bytes) / float64(r.Real)}
-	direct, err := r.direct(ctx, f)
-	if err != nil {
-		return err
-	}
-	through, err := r.throughReal(ctx, f, p, &c)
+	through, direct, err := r.throughReal(ctx, f, p, &c)
 	if err != nil {
 		return err
 	}
@@ -191,94 +191,116 @@
 		return float64(through.ValueAtQuantile(q)-direct.ValueAtQuantile(q)) / 1e6
 	}
 	r.compared(p, c)
-	p.note("added is what clients see beyond the backend's %v, less what they see of backends called directly"+
-		" (p50 %.2f ms, p99 %.2f ms); memory is resident", compareWork, float64(direct.ValueAtQuantile(50))/1e6,
-		float64(direct.ValueAtQuantile(99))/1e6)
+	p.note("added is what clients see beyond the backend's %v, less what they see of a backend called directly at the"+
+		" same time (p50 %.2f ms, p99 %.2f ms); memory is resident", compareWork,
+		float64(direct.ValueAtQuantile(50))/1e6, float64(direct.ValueAtQuantile(99))/1e6)
 	return nil
 }
 
-// throughReal plays clients at all real ingresses: first unmeasured, then measured.
-func (r *Run) throughReal(ctx context.Context, f *realFleet, p *Point, c *comparison) (*hdrhistogram.Histogram, error) {
-	all := newHistogram()
+// mark is what real ingresses, their clients and what stands round them have done so far.
+type mark struct {
+	requests, refused, failed, wrong float64
+	processor                        time.Duration
+	calls                            int
+	attempts                         []uint64 // at each backend
+	conns                            float64
+}
+
+func (f *realFleet) mark(callers []*clients) (m mark, err error) {
+	for _, cl := range callers {
+		m.requests += float64(cl.requests)
+		m.refused += float64(cl.refused.Load())
+		m.failed += float64(cl.failed.Load())
+		m.wrong += float64(cl.wrong.Load())
+	}
+	for _, b := range f.backends {
+		s := b.Stats()
+		m.attempts, m.conns = append(m.attempts, uint64(s.Attempts)), m.conns+float64(s.Conns)
+	}
+	if m.processor, err = f.processor(); err != nil {
+		return m, err
+	}
+	report, err := f.counter.tell(order{Do: "report"})
+	m.calls = report.Counter.Calls
+	return m, err
+}
+
+// throughReal plays clients at all real ingresses: first unmeasured, then measured, beside others that call a backend
+// directly, so that whatever else the machine does meets both.
+func (r *Run) throughReal(ctx context.Context, f *realFleet, p *Point, c *comparison) (through,
+	direct *hdrhistogram.Histogram, err error) {
+	straight, shape := newClients(f.direct, 0), r.compareShape()
+	defer straight.close()
 	var callers []*clients
 	for i, in := range f.ingress {
-		cl := newClients(in.addr, i+1)
-		defer cl.close()
-		callers = append(callers, cl)
-	}
-	play := func(d time.Duration, round uint64) {
-		var out sync.WaitGroup
-		for i, cl := range callers {
-			rng := rand.New(rand.NewPCG(r.Seed, uint64(i)<<8|round))
-			out.Go(func() { cl.play(ctx, rng, r.compareShape().tenantsOf(i), r.Rate, d, compareWork) })
-		}
-		out.Wait()
-	}
-	play(r.shortened(compareSettle), 0)
-	sum := func() (requests, refused, failed, wrong float64) {
-		for _, cl := range callers {
-			requests += float64(cl.requests)
-			refused += float64(cl.refused.Load())
-			failed += float64(cl.failed.Load())
-			wrong += float64(cl.wrong.Load())
-		}
-		return
+		callers = append(callers, newClients(in.addr, i+1))
+		defer callers[i].close()
+	}
+	play := func(out *sync.WaitGroup, cl *clients, d time.Duration, round uint64) {
+		rng := rand.New(rand.NewPCG(r.Seed, uint64(cl.number)<<8|round))
+		tenants := shape.tenantsOf(max(0, cl.number-1))
+		out.Go(func() { cl.play(ctx, rng, tenants, r.Rate, r.shortened(d), compareWork) })
+	}
+	var settling, playing sync.WaitGroup
+	for _, cl := range callers {
+		play(&settling, cl, compareSettle, 0)
 	}
+	settling.Wait()
 	for _, cl := range callers {
 		cl.beyond.Reset()
 	}
-	r0, b0, f0, _ := sum()
-	counter, err := f.counter.tell(order{Do: "report"})
+	before, err := f.mark(callers)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	before, err := f.processor()
-	if err != nil {
-		return nil, err
+	for _, cl := range append(callers, straight) {
+		play(&playing, cl, compareTime, 1)
 	}
-	attempts := f.attempts()
-	play(r.shortened(compareTime), 1)
-	after, err := f.processor()
+	playing.Wait()
+	after, err := f.mark(callers)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	counted, err := f.counter.tell(order{Do: "report"})
-	if err != nil {
-		return nil, err
+	if straight.served.Load() == 0 {
+		return nil, nil, errors.Join(ctx.Err(), errors.New("the backend answers nothing"))
 	}
-	r1, b1, f1, wrong := sum()
+	c.between(before, after)
+	p.tell(theIngress, "connections to backends for a request", "", (after.conns-before.conns)/max(1, c.requests))
 	for _, in := range f.ingress {
 		c.memory += float64(resident(in.cmd.Process.Pid)) / float64(len(f.ingress))
 	}
+	if after.wrong > 0 {
+		p.note("%v requests were served with what no backend made for them", after.wrong)
+	}
+	return merge(p, callers), straight.beyond, nil
+}
+
+// merge puts the times of all together, and notes what failed.
+func merge(p *Point, callers []*clients) *hdrhistogram.Histogram {
+	all := newHistogram()
 	for _, cl := range callers {
 		all.Merge(cl.beyond)
+		if cl.failure != "" {
+			p.note("%d requests failed at %s, the last with %q", cl.failed.Load(), cl.addr, cl.failure)
+		}
 	}
-	c.requests, c.refused, c.failed, c.processor = r1-r0, b1-b0, f1-f0, after-before
-	c.attempts, c.calls = f.attempts()-attempts, float64(counted.Counter.Calls-counter.Counter.Calls)
-	if wrong > 0 {
-		p.note("%v requests were served with what no backend made for them", wrong)
-	}
-	return all, nil
+	return all
 }
 
-// direct measures what clients see of a backend without an ingress.
-func (r *Run) direct(ctx context.Context, f *realFleet) (*hdrhistogram.Histogram, error) {
-	cl := newClients(f.targets[0].Endpoint, 0)
-	defer cl.close()
-	cl.play(ctx, rand.New(rand.NewPCG(r.Seed, 1<<16)), r.compareShape().tenantsOf(0), r.Rate,
-		r.shortened(directTime), compareWork)
-	if cl.served.Load() == 0 {
-		return nil, errors.Join(ctx.Err(), errors.New("the backend answers nothing"))
-	}
-	return cl.beyond, nil
+func (c *comparison) between(before, after mark) {
+	c.requests, c.refused = after.requests-before.requests, after.refused-before.refused
+	c.failed, c.processor = after.failed-before.failed, after.processor-before.processor
+	c.attempts, c.busiest = spreadOf(before.attempts, after.attempts)
+	c.calls = float64(after.calls - before.calls)
 }
 
-func (f *realFleet) attempts() float64 {
-	n := 0
-	for _, b := range f.backends {
-		n += b.Stats().Attempts
+// spreadOf is the sum of what came since, and the most at one backend in what each has in the mean.
+func spreadOf(before, after []uint64) (sum, busiest float64) {
+	for i := range after {
+		n := float64(after[i] - before[i])
+		sum, busiest = sum+n, max(busiest, n)
 	}
-	return float64(n)
+	return sum, busiest / max(1, sum/float64(len(after)))
 }
 
 func (f *realFleet) processor() (time.Duration, error) {
@@ -349,17 +371,21 @@
 }
 
 func (f *realFleet) startBackends() error {
-	for i := range liveBackends {
+	for i := range liveBackends + 1 { // the last one is called directly
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			return fmt.Errorf("backends: %w", err)
 		}
 		b := standin.NewBackend(standin.BackendConfig{Slots: backendSlots, Reports: true, Seed: uint64(i),
 			Work: func(*rand.Rand) time.Duration { return compareWork }})
+		go b.Serve(ln) // until stop
+		if i == liveBackends {
+			f.direct, f.spare = ln.Addr().String(), b
+			break
+		}
 		f.backends = append(f.backends, b)
 		f.targets = append(f.targets, ingress.Target{UID: fmt.Sprintf("s-%06d", i), Endpoint: ln.Addr().String(),
 			Zone: zoneName(i), Model: "m1", Group: i / 16, State: "SERVING", Capacity: 1})
-		go b.Serve(ln) // until Close
 	}
 	return nil
 }
@@ -446,6 +472,9 @@
 	for _, b := range f.backends {
 		b.Close()
 	}
+	if f.spare != nil {
+		f.spare.Close()
+	}
 	if f.dir != "" {
 		os.RemoveAll(f.dir) // a folder of the system's for such
 	}
--- a/internal/scale/driven.go
+++ b/internal/scale/driven.go
@@ -55,6 +55,9 @@
 	return cost{h.now - from, used(thisThread) - thread, used(wholeProcess) - process, h.tally.minus(tally)}
 }
 
+// busy is the part of a core that the ingress takes.
+func (c cost) busy() float64 { return c.processor.Seconds() / max(1e-9, c.span.Seconds()) }
+
 func (c cost) plus(d cost) cost {
 	return cost{c.span + d.span, c.processor + d.processor, c.all + d.all, c.tally.plus(d.tally)}
 }
@@ -104,8 +107,7 @@
 		idle = idle.plus(h.drive(ctx, idleSpan, part(warmBudget)))
 		rec.take()
 		for k := 0; k < changesDriven && ctx.Err() == nil; k++ {
-			f := &fleet{back: back}
-			h.fleet(ingress.Fleet{Rev: int64(k), Targets: []ingress.Target{f.toggled(k)}})
+			h.fleet(ingress.Fleet{Rev: int64(k), Targets: []ingress.Target{back.toggled(k)}})
 		}
 		changes = merged(changes, rec.take())
 	}
@@ -113,8 +115,9 @@
 		return err
 	}
 	r.requestFigures(p, sum, times)
+	p.unfit(counterCalls) // the more backends, the fewer requests are played: first leases are a part of them
 	p.times(theIngress, "change handled", "µs", time.Microsecond, changes[handleChange], 50)
-	p.add(theIngress, "idle second", "ms", idle.processor.Seconds()*1000/max(1e-9, idle.span.Seconds()), idle.tally.Ticks)
+	p.add(theIngress, "idle second, in the module", "ms", 1000*idle.busy(), idle.tally.Ticks)
 	return nil
 }
 
@@ -143,9 +146,9 @@
 	p.times(theIngress, "answer handled", "µs", time.Microsecond, times[handleAnswer], 50)
 	p.times(theIngress, "tick handled", "µs", time.Microsecond, times[handleTick], 50)
 	p.add(theIngress, fmt.Sprintf("core at %s requests a second", number(r.Rate)), "%",
-		100*c.processor.Seconds()/max(1e-9, c.span.Seconds()), c.tally.Requests)
+		100*c.busy(), c.tally.Requests)
 	p.times(theIngress, "added, no socket (p99)", "ms", time.Millisecond, times[addedLatency], 99)
-	p.add(theIngress, "counter calls for a request", "", float64(c.tally.Calls)/requests, c.tally.Requests)
+	p.add(theIngress, counterCalls, "", float64(c.tally.Calls)/requests, c.tally.Requests)
 	p.tell(theIngress, "attempts for a request", "", float64(c.tally.Sends)/requests)
 	p.tell(theIngress, "refused", "%", 100*float64(c.tally.Refused)/requests)
 	p.tell(theIngress, "not answered", "", float64(c.tally.Unanswered))
@@ -165,6 +168,14 @@
 	return len(p), nil
 }
 
+// undated leaves out when and how loud: a note is of its point.
+func undated(_ []string, a slog.Attr) slog.Attr {
+	if a.Key == slog.TimeKey || a.Key == slog.LevelKey {
+		return slog.Attr{}
+	}
+	return a
+}
+
 func (l *lastLine) last() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -252,7 +263,7 @@
 			}
 		}
 	}
-	parts := ingress.NewParts(cfg, post, slog.New(slog.NewTextHandler(&said, nil)))
+	parts := ingress.NewParts(cfg, post, slog.New(slog.NewTextHandler(&said, &slog.HandlerOptions{ReplaceAttr: undated})))
 	runtime.GC()
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
@@ -309,9 +320,10 @@
 	if err := ctx.Err(); err != nil {
 		return err
 	}
+	p.tell(theIngress, "tenants", "", p.Size)
 	p.add(theIngress, "state of the tenants", "MB", state/(1<<20), 1)
 	p.tell(theIngress, "state of a tenant", "bytes", state/float64(len(h.tenants)))
 	r.requestFigures(p, sum, times)
-	p.add(theIngress, "idle second", "ms", idle.processor.Seconds()*1000/max(1e-9, idle.span.Seconds()), idle.tally.Ticks)
+	p.add(theIngress, "idle second, in the module", "ms", 1000*idle.busy(), idle.tally.Ticks)
 	return nil
 }
--- a/internal/scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -221,15 +221,6 @@
 	return f.each(ctx, func(h *Hollow) { h.setRate(rate) })
 }
 
-// toggled is one change: a backend, another one each time, begins to drain, and the next change takes that back.
-func (f *fleet) toggled(n int) ingress.Target {
-	state := "DRAINING"
-	if n%2 == 1 {
-		state = "SERVING"
-	}
-	return f.back.target(n/2*7%len(f.back.list), state)
-}
-
 // inForce says how long changes took: to each ingress, and until the last one had them. Some may be missing.
 func (f *fleet) inForce(ctx context.Context, changes []listed) (each, last *hdrhistogram.Histogram, missing int, err error) {
 	each, last = newHistogram(), newHistogram()
--- a/internal/scale/live.go
+++ b/internal/scale/live.go
@@ -110,7 +110,7 @@
 	each := s.seconds * float64(n)
 	p.add(theIngress, "request, all of the hollow ingress", "µs", s.processor.Seconds()*1e6/requests, s.tally.Requests)
 	p.tell(theIngress, "requests a second, each", "", requests/each)
-	p.add(theIngress, "counter calls for a request", "", float64(s.tally.Calls)/requests, s.tally.Requests)
+	p.add(theIngress, counterCalls, "", float64(s.tally.Calls)/requests, s.tally.Requests)
 	p.add(theIngress, "counter bytes a second, each", "bytes", (s.counterIn+s.counterOut)/each, uint64(s.calls))
 	p.tell(theIngress, "attempts for a request", "", float64(s.tally.Sends)/requests)
 	p.tell(theIngress, "refused", "%", 100*float64(s.tally.Refused)/requests)
@@ -150,7 +150,7 @@
 			if time.Since(due) > space {
 				late++
 			}
-			c, err := f.change(f.toggled(i))
+			c, err := f.change(f.back.toggled(i))
 			if err != nil {
 				return err
 			}
--- a/internal/scale/machine.go
+++ b/internal/scale/machine.go
@@ -27,6 +27,9 @@
 	perBackendBytes = 700  // in each module
 	listBytes       = 2500 // for each backend once: modelled, in discovery, as text on its way
 	realBytes       = 60 << 20
+
+	hollowDescriptors = 6 // four for the counter, one or two for discovery
+	spareDescriptors  = 500
 )
 
 // Machine is where a run was made.
@@ -35,7 +38,9 @@
 	Memory uint64 `json:"memory_bytes"`
 	Go     string `json:"go"`
 	OS     string `json:"os"`
-	Load   string `json:"load"` // averages over 1, 5 and 15 minutes before the run: what else it was doing
+
+	Descriptors uint64 `json:"descriptors"` // that a process may hold; 0: not known
+	Load        string `json:"load"`        // averages over 1, 5 and 15 minutes before the run: what else it was doing
 }
 
 func machine() (Machine, error) {
@@ -43,9 +48,14 @@
 	if err != nil {
 		return Machine{}, err
 	}
-	load, err := os.ReadFile("/proc/loadavg")
-	return Machine{runtime.NumCPU(), total, runtime.Version(), runtime.GOOS + "/" + runtime.GOARCH,
-		strings.Join(strings.Fields(string(load))[:min(3, len(strings.Fields(string(load))))], " ")}, err
+	var open syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &open); err != nil {
+		return Machine{}, fmt.Errorf("descriptors: %w", err)
+	}
+	text, err := os.ReadFile("/proc/loadavg")
+	load := strings.Fields(string(text))
+	return Machine{Cores: runtime.NumCPU(), Memory: total, Go: runtime.Version(), OS: runtime.GOOS + "/" + runtime.GOARCH,
+		Descriptors: open.Cur, Load: strings.Join(load[:min(3, len(load))], " ")}, err
 }
 
 // procField reads a figure in kB, as bytes.
@@ -135,6 +145,9 @@
 	}
 	one := hollowBytes + float64(liveTenants)*perTenantBytes + float64(liveBackends)*perBackendBytes
 	take(baseBytes + float64(most)*one + float64(o.Real)*realBytes)
+	if n := uint64(most*hollowDescriptors + spareDescriptors); m.Descriptors > 0 && n > m.Descriptors {
+		return fmt.Errorf("about %d descriptors are asked for, a process may hold %d here", n, m.Descriptors)
+	}
 	for _, n := range o.Tenants {
 		take(baseBytes + float64(n)*2*perTenantBytes)
 	}
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -83,6 +83,9 @@
 	theRun       = "run"
 )
 
+// Figures that more than one sweep has.
+const counterCalls = "counter calls for a request"
+
 func (p *Point) add(role, name, unit string, value float64, samples uint64) {
 	p.Figures = append(p.Figures, Figure{Role: role, Name: name, Unit: unit, Value: value, Samples: samples})
 }
@@ -92,6 +95,13 @@
 	p.Figures = append(p.Figures, Figure{Role: role, Name: name, Unit: unit, Value: value, NoFit: true})
 }
 
+// unfit keeps a figure out of the slopes.
+func (p *Point) unfit(name string) {
+	for i := range p.Figures {
+		p.Figures[i].NoFit = p.Figures[i].NoFit || p.Figures[i].Name == name
+	}
+}
+
 func (p *Point) note(form string, args ...any) { p.Notes = append(p.Notes, fmt.Sprintf(form, args...)) }
 
 // times adds a histogram of ns with one of its quantiles as the value, in a unit of so many ns.
--- a/internal/scale/role.go
+++ b/internal/scale/role.go
@@ -130,7 +130,8 @@
 
 func startChild(ctx context.Context, w *watcher, cmd func(context.Context) *exec.Cmd) (*child, error) {
 	c := &child{cmd: cmd(ctx), watch: w, over: make(chan struct{})}
-	c.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true} // Ctrl-C is for the run, which ends it
+	// Ctrl-C is for the run, which ends it; if the run itself is killed, so is the child.
+	c.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	c.cmd.Cancel = c.kill
 	c.cmd.WaitDelay = goodbye
 	if err := c.cmd.Start(); err != nil {
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -1,6 +1,7 @@
 package scale
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -8,6 +9,7 @@
 	"io"
 	"math"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -18,6 +20,7 @@
 	"time"
 
 	"larchwick/internal/ingress"
+	"larchwick/internal/standin"
 	"larchwick/logic"
 )
 
@@ -126,6 +129,7 @@
 		{"301 processes", func(o *Options) { o.Real = 298 }, Machine{Memory: 1 << 40}, "301 processes"},
 		{"backends", func(o *Options) { o.Backends = []int{200, 1 << 21} }, Machine{Memory: 4 << 30}, "half of the"},
 		{"ingresses", func(o *Options) { o.Ingresses = []int{10, 16000} }, large, "half of the machine's"},
+		{"descriptors", func(o *Options) { o.Ingresses = []int{500} }, Machine{Memory: 1 << 40, Descriptors: 1024}, "1024"},
 		{"a small machine", func(*Options) {}, Machine{Memory: 256 << 20}, "half of the machine's memory is 128 MB"},
 	} {
 		o := options()
@@ -298,7 +302,7 @@
 		}
 		var made []listed
 		for i := range 3 {
-			c, err := f.change(f.toggled(i))
+			c, err := f.change(f.back.toggled(i))
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -395,6 +399,66 @@
 	}
 }
 
+// A reply is read to its end, and what is none is an error.
+func TestReadReply(t *testing.T) {
+	for _, c := range []struct{ text, want string }{
+		{"$2\r\nab\r\n", "ab"}, {"*3\r\n$2\r\nab\r\n$-1\r\n$3\r\nx=1\r\n", "ab"}, {"-BUSY 20\r\n", "-BUSY 20"},
+		{"+PONG\r\n", "+PONG"}, {"$-1\r\n", "-null"}, {"$2\r\na", ""}, {"\r\n", ""}, {"*0\r\n", ""}, {"$99999\r\n", ""},
+		{"hello\r\n", ""},
+	} {
+		in := bufio.NewReader(strings.NewReader(c.text))
+		got, err := readReply(in)
+		if c.want == "" && err == nil || c.want != "" && (err != nil || got != c.want || in.Buffered() > 0) {
+			t.Errorf("%q: %q, %v, %d bytes left; want %q", c.text, got, err, in.Buffered(), c.want)
+		}
+	}
+}
+
+// Clients get the answers made for their requests, and count those that were not.
+func TestClients(t *testing.T) {
+	for _, spoilt := range []bool{false, true} {
+		cfg := standin.BackendConfig{Reports: true}
+		if spoilt {
+			cfg.Value = func([]string) string { return "another's" }
+		}
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		b := standin.NewBackend(cfg)
+		go b.Serve(ln)
+		cl := newClients(ln.Addr().String(), 1)
+		tenants := Shape{Ingresses: 1, Tenants: 5, Rate: 100}.tenantsOf(0)
+		cl.play(t.Context(), rand.New(rand.NewPCG(1, 1)), tenants, 1000, 50*time.Millisecond, 0)
+		cl.close()
+		b.Close()
+		good, bad := cl.served.Load(), cl.wrong.Load()
+		if cl.requests == 0 || good+bad != cl.requests || spoilt && good > 0 || !spoilt && bad > 0 {
+			t.Errorf("spoilt %v: %d requests, %d served, %d wrong", spoilt, cl.requests, good, bad)
+		}
+		if odd := b.Stats().Odd; odd > 0 {
+			t.Errorf("%d commands in a form that no client sends", odd)
+		}
+	}
+}
+
+// Ratios are of the figures that both kinds have.
+func TestRatios(t *testing.T) {
+	var real, hollow, p Point
+	real.add(theIngress, requestCost, "µs", 200, 1)
+	real.add(theIngress, idleCost, "ms", 0, 1)
+	real.add(theIngress, "only real", "", 3, 1)
+	hollow.add(theIngress, requestCost, "µs", 50, 1)
+	hollow.add(theIngress, idleCost, "ms", 5, 1)
+	if err := ratios(&p, &real, &hollow); err != nil || len(p.Figures) != 1 || p.Figures[0].Value != 0.25 {
+		t.Errorf("%+v, %v; want one ratio of 0.25", p.Figures, err)
+	}
+	real.Skipped = "failed"
+	if err := ratios(&p, &real, &hollow); err == nil {
+		t.Error("a ratio to what was not measured")
+	}
+}
+
 func TestNumber(t *testing.T) {
 	for v, want := range map[float64]string{0: "0", 7: "7", 0.1234: "0.123", 999.6: "1,000", 999.4: "999", 1000: "1,000",
 		200000: "200,000", -1234567: "-1,234,567"} {
