Scale run: hollow ingresses keep the subset that real ones keep

Parts and Membership give the scale run the reader's subset, so that lists, changes and requests cost what they cost a real ingress; how many backends of a list are held is a figure of its own. The list that the module asks for says who shares it (it would have said all), and changes that concern no held backend no longer reach the module.

--- a/internal/ingress/gateway.go
+++ b/internal/ingress/gateway.go
@@ -86,9 +86,10 @@
 	lastID    logic.RequestID
 	endBy     time.Duration // of a shutdown; 0: none
 	backends  map[logic.ServerID]*backend
-	heldBytes int  // bytes of their commands
-	conns     int  // to backends
-	starved   bool // an attempt waits because of mostConns
+	sharers   float64 // ingresses that share a backend, as last told
+	heldBytes int     // bytes of their commands
+	conns     int     // to backends
+	starved   bool    // an attempt waits because of mostConns
 	actions   []logic.Action
 	queue     []logic.Event // for the module, from actions that ended at once
 
@@ -268,7 +269,8 @@
 // known hands the module the list that the configuration brought, before anything else.
 func (g *Gateway) known() {
 	g.now = g.clock(time.Now())
-	g.handle(g.disc.known.start(g.cfg.Known))
+	g.cfg.Known.All = true
+	g.handle(g.disc.known.news(g.cfg.Known))
 	g.cfg.Known.Targets = nil
 }
 
@@ -569,6 +571,10 @@
 // --- the list and the counter ---
 
 func (g *Gateway) fleet(f Fleet) {
+	g.sharers = f.Sharers
+	if !f.All && len(f.Targets) == 0 { // of backends that are not held
+		return
+	}
 	ev := logic.FleetChanged{Whole: f.All, Sharers: f.Sharers}
 	if f.All {
 		for _, be := range g.backends {
@@ -602,7 +608,7 @@
 
 // held is the list as it stands.
 func (g *Gateway) held() logic.Event {
-	ev := logic.FleetChanged{Whole: true}
+	ev := logic.FleetChanged{Whole: true, Sharers: g.sharers}
 	for _, be := range g.backends {
 		if be.State != logic.Gone {
 			ev.Servers = append(ev.Servers, be.Server)
--- a/internal/ingress/members.go
+++ b/internal/ingress/members.go
@@ -87,13 +87,13 @@
 	return h, Fleet{Rev: *h.Rev, All: h.All, Targets: b.entries}, nil
 }
 
-// start takes the list that the configuration brought.
-func (m *members) start(known Fleet) Fleet {
+// news is what a list or a change, which is in memory already, tells the others.
+func (m *members) news(f Fleet) Fleet {
 	b := batch{at: map[string]int{}}
-	for _, t := range known.Targets {
+	for _, t := range f.Targets {
 		m.take(&b, t)
 	}
-	return m.apply(Fleet{Rev: known.Rev, All: true, Targets: b.entries})
+	return m.apply(Fleet{Rev: f.Rev, All: f.All, Targets: b.entries})
 }
 
 // take adds an entry that counts.
--- a/internal/ingress/members_test.go
+++ b/internal/ingress/members_test.go
@@ -62,6 +62,17 @@
 	}
 }
 
+// The list that the module asks for says who shares it, as the news did.
+func TestHeldListSaysWhoSharesIt(t *testing.T) {
+	g := idleGateway(t, named(t, "a").addr)
+	f := fleetOf("127.0.0.1:9")
+	f.Sharers = 30
+	g.handle(f)
+	if ev := g.held().(logic.FleetChanged); ev.Sharers != 30 {
+		t.Errorf("shared by %v, told 30", ev.Sharers)
+	}
+}
+
 // A short list is held whole by every ingress, and all share it.
 func TestShortListIsHeldWhole(t *testing.T) {
 	for _, set := range []logic.Settings{atSize(), {Gateways: 1}, {Me: 299, Gateways: 300, Zone: "z0"}} {
--- a/internal/ingress/parts.go
+++ b/internal/ingress/parts.go
@@ -15,15 +15,31 @@
 	counter *counter
 }
 
+// Membership is what an ingress keeps of discovery's list.
+type Membership struct{ kept *members }
+
+// NewMembership keeps nothing yet.
+func NewMembership(set logic.Settings, log *slog.Logger) *Membership {
+	return &Membership{newMembers(set, log)}
+}
+
+// Take is what a list or a change tells the decision module.
+func (m *Membership) Take(f Fleet) Fleet { return m.kept.news(f) }
+
 // NewParts prepares both clients as New does. They post what they learn: a Fleet for a list or a change, and events
 // that Counted reads.
 func NewParts(cfg Config, post func(any), log *slog.Logger) *Parts {
 	tell := func(ev event) { post(ev) }
 	pace := paceOf(cfg.Settings.AskForFleet, cfg.Settings.Gateways, len(cfg.Known.Targets) > 0)
-	return &Parts{disc: newDiscovery(cfg.Discovery, cfg.Known.Rev, pace, tell, log),
+	p := &Parts{disc: newDiscovery(cfg.Discovery, cfg.Known.Rev, pace, tell, log),
 		counter: newCounter(cfg.Counter, cfg.Settings.CounterTimeout, tell)}
+	p.disc.known = newMembers(cfg.Settings, log)
+	return p
 }
 
+// Known is what the list that the configuration brought tells the decision module; it comes before Run.
+func (p *Parts) Known(f Fleet) Fleet { return p.disc.known.news(f) }
+
 // Run keeps the list and serves calls until ctx ends, and returns once nothing of it runs any more.
 func (p *Parts) Run(ctx context.Context) {
 	var all sync.WaitGroup
@@ -64,7 +80,7 @@
 
 // Changed is the list as the module's event.
 func (f Fleet) Changed() logic.FleetChanged {
-	ev := logic.FleetChanged{Whole: f.All, Servers: make([]logic.Server, len(f.Targets))}
+	ev := logic.FleetChanged{Whole: f.All, Sharers: f.Sharers, Servers: make([]logic.Server, len(f.Targets))}
 	for i, t := range f.Targets {
 		ev.Servers[i] = t.server()
 	}
--- a/internal/scale/driven.go
+++ b/internal/scale/driven.go
@@ -108,7 +108,7 @@
 		idle = idle.plus(h.drive(ctx, idleSpan, part(warmBudget)))
 		ticks = merged(ticks, rec.take())
 		for k := 0; k < changesDriven && ctx.Err() == nil; k++ {
-			h.fleet(ingress.Fleet{Rev: int64(k), Targets: []ingress.Target{back.toggled(k)}})
+			h.told(ingress.Fleet{Rev: int64(k), Targets: []ingress.Target{back.toggled(k)}})
 		}
 		changes = merged(changes, rec.take())
 	}
@@ -207,7 +207,7 @@
 		limit, cancel := context.WithTimeout(ctx, listWait)
 		l, warning := takeList(limit, ingress.Config{Discovery: d.addr, Settings: set})
 		cancel()
-		if l.entries != len(back.list) {
+		if l.entries == 0 {
 			if ctx.Err() != nil {
 				return ctx.Err()
 			}
@@ -237,6 +237,7 @@
 	median("processor", "ms", func(l listTaken) float64 { return l.processor.Seconds() * 1000 })
 	median("time", "ms", func(l listTaken) float64 { return l.took.Seconds() * 1000 })
 	median("allocated", "MB", func(l listTaken) float64 { return float64(l.allocated) / (1 << 20) })
+	p.tell(theIngress, "list taken: held", "backends", float64(taken[0].entries))
 	p.add(theDiscovery, "list: bytes", "MB", float64(to.Discovery.Bytes-from.Discovery.Bytes)/float64(n)/(1<<20), n)
 	p.add(theDiscovery, "list: processor", "ms", (to.Processor-from.Processor).Seconds()*1000/float64(n), n)
 	return nil
--- a/internal/scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -105,7 +105,7 @@
 		}
 		h.goLive(f.discovery.addr, f.counter.addr, known, log)
 		if f.shape.Asked {
-			h.fleet(known)
+			h.fleet(h.parts.Known(known))
 		}
 		f.hollows = append(f.hollows, h)
 		f.running.Go(func() { h.Live(ctx) })
--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -62,6 +62,8 @@
 	actions  []logic.Action
 	tally    Tally
 	held     map[logic.ServerID]logic.Server // kept where the module asks for the list
+	kept     *ingress.Membership             // on a driven clock; live it is the client's
+	sharers  float64
 	log      []listed
 
 	totals map[string]float64 // the counter, on a driven clock
@@ -138,12 +140,20 @@
 	}
 	return &Hollow{me: me, set: set, mod: mod, rng: rand.New(rand.NewPCG(seed, uint64(me))), back: back, rec: rec,
 		tenants: s.tenantsOf(me), now: drivenStart, open: map[logic.RequestID]*request{},
-		totals: map[string]float64{}, held: map[logic.ServerID]logic.Server{}}, nil
+		totals: map[string]float64{}, held: map[logic.ServerID]logic.Server{},
+		kept: ingress.NewMembership(set, slog.New(slog.DiscardHandler))}, nil
 }
 
 // Known hands over the list that a configuration brings.
 func (h *Hollow) Known(targets []ingress.Target) {
-	h.fleet(ingress.Fleet{All: true, Targets: targets})
+	h.told(ingress.Fleet{All: true, Targets: targets})
+}
+
+// told hands over what is kept of a list or a change.
+func (h *Hollow) told(f ingress.Fleet) {
+	if f = h.kept.Take(f); f.All || len(f.Targets) > 0 {
+		h.fleet(f)
+	}
 }
 
 func (h *Hollow) schedule(after time.Duration, it item) {
@@ -273,7 +283,7 @@
 	case logic.Count:
 		h.call(a)
 	case logic.Watch, logic.Fetch: // the watch is always on: the list held is the answer
-		ev := logic.FleetChanged{Whole: true}
+		ev := logic.FleetChanged{Whole: true, Sharers: h.sharers}
 		for _, s := range h.held {
 			ev.Servers = append(ev.Servers, s)
 		}
@@ -347,6 +357,7 @@
 
 func (h *Hollow) fleet(f ingress.Fleet) {
 	ev := f.Changed()
+	h.sharers = f.Sharers
 	if h.set.AskForFleet {
 		if ev.Whole {
 			clear(h.held)
