--- a/internal/ingress/gateway.go
+++ b/internal/ingress/gateway.go
@@ -47,6 +47,7 @@
 	Sockets                    int // descriptors that it may hold
 	Memory                     int // bytes that it may use; 0: not told
 	Known                      Fleet
+	Subset                     *logic.Subset // that Known was read with; nil: Known is whole
 	Settings                   logic.Settings
 	Connections                wire.Connections
 }
@@ -85,9 +86,10 @@
 	lastID    logic.RequestID
 	endBy     time.Duration // of a shutdown; 0: none
 	backends  map[logic.ServerID]*backend
-	heldBytes int  // bytes of their commands
-	conns     int  // to backends
-	starved   bool // an attempt waits because of mostConns
+	sharers   float64 // ingresses that share a backend, as last told
+	heldBytes int     // bytes of their commands
+	conns     int     // to backends
+	starved   bool    // an attempt waits because of mostConns
 	actions   []logic.Action
 	queue     []logic.Event // for the module, from actions that ended at once
 
@@ -149,6 +151,10 @@
 	g.counter = newCounter(cfg.Counter, cfg.Settings.CounterTimeout, g.post)
 	g.disc = newDiscovery(cfg.Discovery, cfg.Known.Rev,
 		paceOf(cfg.Settings.AskForFleet, cfg.Settings.Gateways, len(cfg.Known.Targets) > 0), g.post, log)
+	g.disc.known = newMembers(cfg.Settings, log)
+	if cfg.Subset != nil {
+		g.disc.known.subset = cfg.Subset
+	}
 	g.disc.rng = rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Settings.Me)))
 	return g, nil
 }
@@ -195,6 +201,7 @@
 		g.spawned.Wait()
 	}()
 	g.ctx = life
+	known := len(g.cfg.Known.Targets)
 	g.known()
 	g.spawn(g.loop)
 	for _, l := range g.counter.links {
@@ -217,7 +224,7 @@
 	g.addr = ln.Addr()
 	close(g.ready)
 	g.log.Info("serving", "listen", g.cfg.Listen, "ingresses", g.cfg.Settings.Gateways,
-		"backends", len(g.cfg.Known.Targets), "asks discovery", g.cfg.Settings.AskForFleet)
+		"backends known", known, "asks discovery", g.cfg.Settings.AskForFleet)
 
 	<-ctx.Done()
 	g.log.Info("shutting down")
@@ -262,9 +269,9 @@
 // known hands the module the list that the configuration brought, before anything else.
 func (g *Gateway) known() {
 	g.now = g.clock(time.Now())
-	f := g.cfg.Known.usable(g.log)
-	f.All = true
-	g.handle(f)
+	g.cfg.Known.All = true
+	g.handle(g.disc.known.news(g.cfg.Known))
+	g.cfg.Known.Targets = nil
 }
 
 // loop is the goroutine that owns all below.
@@ -564,7 +571,11 @@
 // --- the list and the counter ---
 
 func (g *Gateway) fleet(f Fleet) {
-	ev := logic.FleetChanged{Whole: f.All}
+	g.sharers = f.Sharers
+	if !f.All && len(f.Targets) == 0 { // of backends that are not held
+		return
+	}
+	ev := logic.FleetChanged{Whole: f.All, Sharers: f.Sharers}
 	if f.All {
 		for _, be := range g.backends {
 			be.State = logic.Gone
@@ -597,7 +608,7 @@
 
 // held is the list as it stands.
 func (g *Gateway) held() logic.Event {
-	ev := logic.FleetChanged{Whole: true}
+	ev := logic.FleetChanged{Whole: true, Sharers: g.sharers}
 	for _, be := range g.backends {
 		if be.State != logic.Gone {
 			ev.Servers = append(ev.Servers, be.Server)
--- a/internal/scale/driven.go
+++ b/internal/scale/driven.go
@@ -55,6 +55,9 @@
 	return cost{h.now - from, used(thisThread) - thread, used(wholeProcess) - process, h.tally.minus(tally)}
 }
 
+// busy is the part of a core that the ingress takes.
+func (c cost) busy() float64 { return c.processor.Seconds() / max(1e-9, c.span.Seconds()) }
+
 func (c cost) plus(d cost) cost {
 	return cost{c.span + d.span, c.processor + d.processor, c.all + d.all, c.tally.plus(d.tally)}
 }
@@ -77,7 +80,7 @@
 	}
 	targets, rec := back.targets(), NewRecorder()
 	var sum, idle cost
-	var times, changes [kinds]*hdrhistogram.Histogram
+	var times, ticks, changes [kinds]*hdrhistogram.Histogram
 	ingresses := min(spreadOver, r.Fleet)
 	for i := range ingresses {
 		h, err := NewHollow(shape, i*r.Fleet/ingresses, back, rec, r.Seed)
@@ -101,11 +104,11 @@
 		times = merged(times, rec.take())
 		h.setRate(0)
 		h.Drive(5*time.Second, within(ctx, part(warmBudget))) // what is out ends
-		idle = idle.plus(h.drive(ctx, idleSpan, part(warmBudget)))
 		rec.take()
+		idle = idle.plus(h.drive(ctx, idleSpan, part(warmBudget)))
+		ticks = merged(ticks, rec.take())
 		for k := 0; k < changesDriven && ctx.Err() == nil; k++ {
-			f := &fleet{back: back}
-			h.fleet(ingress.Fleet{Rev: int64(k), Targets: []ingress.Target{f.toggled(k)}})
+			h.told(ingress.Fleet{Rev: int64(k), Targets: []ingress.Target{back.toggled(k)}})
 		}
 		changes = merged(changes, rec.take())
 	}
@@ -113,8 +116,9 @@
 		return err
 	}
 	r.requestFigures(p, sum, times)
+	p.unfit(counterCalls) // the more backends, the fewer requests are played: first leases are a part of them
 	p.times(theIngress, "change handled", "µs", time.Microsecond, changes[handleChange], 50)
-	p.add(theIngress, "idle second", "ms", idle.processor.Seconds()*1000/max(1e-9, idle.span.Seconds()), idle.tally.Ticks)
+	idleSecond(p, idle, ticks)
 	return nil
 }
 
@@ -143,9 +147,9 @@
 	p.times(theIngress, "answer handled", "µs", time.Microsecond, times[handleAnswer], 50)
 	p.times(theIngress, "tick handled", "µs", time.Microsecond, times[handleTick], 50)
 	p.add(theIngress, fmt.Sprintf("core at %s requests a second", number(r.Rate)), "%",
-		100*c.processor.Seconds()/max(1e-9, c.span.Seconds()), c.tally.Requests)
+		100*c.busy(), c.tally.Requests)
 	p.times(theIngress, "added, no socket (p99)", "ms", time.Millisecond, times[addedLatency], 99)
-	p.add(theIngress, "counter calls for a request", "", float64(c.tally.Calls)/requests, c.tally.Requests)
+	p.add(theIngress, counterCalls, "", float64(c.tally.Calls)/requests, c.tally.Requests)
 	p.tell(theIngress, "attempts for a request", "", float64(c.tally.Sends)/requests)
 	p.tell(theIngress, "refused", "%", 100*float64(c.tally.Refused)/requests)
 	p.tell(theIngress, "not answered", "", float64(c.tally.Unanswered))
@@ -165,6 +169,14 @@
 	return len(p), nil
 }
 
+// undated leaves out when and how loud: a note is of its point.
+func undated(_ []string, a slog.Attr) slog.Attr {
+	if a.Key == slog.TimeKey || a.Key == slog.LevelKey {
+		return slog.Attr{}
+	}
+	return a
+}
+
 func (l *lastLine) last() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -195,7 +207,7 @@
 		limit, cancel := context.WithTimeout(ctx, listWait)
 		l, warning := takeList(limit, ingress.Config{Discovery: d.addr, Settings: set})
 		cancel()
-		if l.entries != len(back.list) {
+		if l.entries == 0 {
 			if ctx.Err() != nil {
 				return ctx.Err()
 			}
@@ -225,6 +237,7 @@
 	median("processor", "ms", func(l listTaken) float64 { return l.processor.Seconds() * 1000 })
 	median("time", "ms", func(l listTaken) float64 { return l.took.Seconds() * 1000 })
 	median("allocated", "MB", func(l listTaken) float64 { return float64(l.allocated) / (1 << 20) })
+	p.tell(theIngress, "list taken: held", "backends", float64(taken[0].entries))
 	p.add(theDiscovery, "list: bytes", "MB", float64(to.Discovery.Bytes-from.Discovery.Bytes)/float64(n)/(1<<20), n)
 	p.add(theDiscovery, "list: processor", "ms", (to.Processor-from.Processor).Seconds()*1000/float64(n), n)
 	return nil
@@ -252,7 +265,7 @@
 			}
 		}
 	}
-	parts := ingress.NewParts(cfg, post, slog.New(slog.NewTextHandler(&said, nil)))
+	parts := ingress.NewParts(cfg, post, slog.New(slog.NewTextHandler(&said, &slog.HandlerOptions{ReplaceAttr: undated})))
 	runtime.GC()
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
@@ -275,6 +288,13 @@
 	return l, said.last()
 }
 
+// idleSecond is what the ticks of a second take: too little for the thread's own clock, which moves in coarser steps.
+func idleSecond(p *Point, c cost, times [kinds]*hdrhistogram.Histogram) {
+	tick := float64(times[handleTick].ValueAtQuantile(50)) / 1e6
+	second := float64(c.tally.Ticks) / max(1e-9, c.span.Seconds())
+	p.add(theIngress, "idle second, in the module", "ms", tick*second, c.tally.Ticks)
+}
+
 func (r *Run) tenantsSweep() []job {
 	var list []job
 	for _, n := range r.Tenants {
@@ -302,16 +322,19 @@
 	times := rec.take()
 	h.setRate(0)
 	h.Drive(5*time.Second, within(ctx, r.shortened(warmBudget)))
+	rec.take()
 	idle := h.drive(ctx, idleSpan, r.shortened(warmBudget))
+	ticks := rec.take()
 	clear(h.totals) // the counter's, not the ingress's
 	h.totals = map[string]float64{}
 	state := max(0, float64(heapInUse())-float64(before))
 	if err := ctx.Err(); err != nil {
 		return err
 	}
+	p.tell(theIngress, "tenants", "", p.Size)
 	p.add(theIngress, "state of the tenants", "MB", state/(1<<20), 1)
 	p.tell(theIngress, "state of a tenant", "bytes", state/float64(len(h.tenants)))
 	r.requestFigures(p, sum, times)
-	p.add(theIngress, "idle second", "ms", idle.processor.Seconds()*1000/max(1e-9, idle.span.Seconds()), idle.tally.Ticks)
+	idleSecond(p, idle, ticks)
 	return nil
 }
--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -14,6 +14,7 @@
 
 const (
 	hollowEvents = 256
+	mostLate     = 250 * time.Millisecond // behind its own clock, an ingress goes on from now and leaves out what was due
 	replyAfter   = 500 * time.Microsecond // of the counter, on a driven clock
 	drivenStart  = 500_000 * time.Hour    // a driven clock begins then, so that a start of 0 is long ago
 	overdue      = 8 * time.Millisecond   // after a request's time, without an answer
@@ -23,12 +24,13 @@
 type Tally struct {
 	Requests, Served, Refused, Failed, Unanswered uint64
 	Sends, Calls, Ticks, Changes, Lists           uint64
+	Skipped                                       uint64 // arrivals that a busy machine would have played too late
 }
 
 func (t Tally) minus(u Tally) Tally {
 	return Tally{t.Requests - u.Requests, t.Served - u.Served, t.Refused - u.Refused, t.Failed - u.Failed,
 		t.Unanswered - u.Unanswered, t.Sends - u.Sends, t.Calls - u.Calls, t.Ticks - u.Ticks, t.Changes - u.Changes,
-		t.Lists - u.Lists}
+		t.Lists - u.Lists, t.Skipped - u.Skipped}
 }
 
 func (t Tally) plus(u Tally) Tally { return t.minus(Tally{}.minus(u)) }
@@ -60,6 +62,8 @@
 	actions  []logic.Action
 	tally    Tally
 	held     map[logic.ServerID]logic.Server // kept where the module asks for the list
+	kept     *ingress.Membership             // on a driven clock; live it is the client's
+	sharers  float64
 	log      []listed
 
 	totals map[string]float64 // the counter, on a driven clock
@@ -136,12 +140,20 @@
 	}
 	return &Hollow{me: me, set: set, mod: mod, rng: rand.New(rand.NewPCG(seed, uint64(me))), back: back, rec: rec,
 		tenants: s.tenantsOf(me), now: drivenStart, open: map[logic.RequestID]*request{},
-		totals: map[string]float64{}, held: map[logic.ServerID]logic.Server{}}, nil
+		totals: map[string]float64{}, held: map[logic.ServerID]logic.Server{},
+		kept: ingress.NewMembership(set, slog.New(slog.DiscardHandler))}, nil
 }
 
 // Known hands over the list that a configuration brings.
 func (h *Hollow) Known(targets []ingress.Target) {
-	h.fleet(ingress.Fleet{All: true, Targets: targets})
+	h.told(ingress.Fleet{All: true, Targets: targets})
+}
+
+// told hands over what is kept of a list or a change.
+func (h *Hollow) told(f ingress.Fleet) {
+	if f = h.kept.Take(f); f.All || len(f.Targets) > 0 {
+		h.fleet(f)
+	}
 }
 
 func (h *Hollow) schedule(after time.Duration, it item) {
@@ -178,7 +190,13 @@
 func (h *Hollow) ring(it *item) {
 	switch it.what {
 	case nextArrival:
-		if h.arriving = h.rate > 0; h.arriving {
+		h.arriving = h.rate > 0
+		switch {
+		case !h.arriving:
+		case h.now-it.at > mostLate:
+			h.tally.Skipped++
+			h.schedule(h.gap(), item{what: nextArrival})
+		default:
 			h.arrive(it.at)
 			heap.Push(&h.due, &item{at: it.at + h.gap(), what: nextArrival})
 		}
@@ -265,7 +283,7 @@
 	case logic.Count:
 		h.call(a)
 	case logic.Watch, logic.Fetch: // the watch is always on: the list held is the answer
-		ev := logic.FleetChanged{Whole: true}
+		ev := logic.FleetChanged{Whole: true, Sharers: h.sharers}
 		for _, s := range h.held {
 			ev.Servers = append(ev.Servers, s)
 		}
@@ -339,6 +357,7 @@
 
 func (h *Hollow) fleet(f ingress.Fleet) {
 	ev := f.Changed()
+	h.sharers = f.Sharers
 	if h.set.AskForFleet {
 		if ev.Whole {
 			clear(h.held)
