Space the cold ramp by the answers of the span in which a fall is counted

The rate now counts the answers of the settings' span of a fall, 3 s, and the last one with them: over one second that made a thin gateway's flow one a second at least, over the span it adds a third. The space begins when a start is heard of.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -80,8 +80,9 @@
 	sharers float64 // gateways that share each of these, about
 	flow    float64 // answers a second to this gateway
 	flowAt  time.Duration
-	flowCap float64 // capacity that they came from, over the same time
-	perWarm float64 // answers a second for each warm server, as of the last
+
+	longFlow, flowCap float64 // the same, and the capacity that they came from, over the span of a fall
+	perWarm           float64 // answers a second for each warm server, as of the last
 
 	warm, linkedShare float64 // the fleet, in warm servers; part of the warm that are linked
 	capacityAt        time.Duration
@@ -908,7 +909,8 @@
 			g.servers[e.ID] = s
 		}
 		if s.slow == 0 || s.Started != e.Started { // new or restarted: only what is still out stays
-			*s = server{out: s.out, slow: g.likeAny(), slowAt: g.now, badRound: -1, phase: g.rng.Float64()}
+			*s = server{out: s.out, slow: g.likeAny(), slowAt: g.now, badRound: -1, phase: g.rng.Float64(),
+				lastSent: g.now}
 		}
 		s.Server = e
 	}
@@ -962,18 +964,21 @@
 	return max(g.warm, g.set.ColdShare, 0.01)
 }
 
-// countFlow adds an answer to the flow and weighs it with the capacity of the time that it is from: where all
-// servers turn cold at once, what they did when warm is no measure of the capacity left. The rate is read
-// before the answer counts: looked at only when one comes, a thin flow would seem one a second at least.
+// countFlow adds an answer to the flow, and to that of the span over which the settings count what a cold
+// server gets: in a shorter one a thin flow, looked at as an answer comes, would seem larger than it is. It
+// is weighed with the capacity of that time: where all turn cold at once, what they did when warm is no
+// measure of what is left.
 func (g *Gateway) countFlow() {
-	left, c := math.Exp(-(g.now - g.flowAt).Seconds()), g.capacity()
+	dt, span, c := (g.now - g.flowAt).Seconds(), max(g.set.FallSpan.Seconds(), 1), g.capacity()
+	left := math.Exp(-dt / span)
 	g.flowCap = c + (g.flowCap-c)*left
-	g.perWarm = g.flow * left / g.flowCap
-	g.flow, g.flowAt = 1+g.flow*left, g.now
+	g.longFlow = 1/span + g.longFlow*left
+	g.perWarm = g.longFlow / g.flowCap
+	g.flow, g.flowAt = 1+g.flow*math.Exp(-dt), g.now
 }
 
 // coldRoom spaces sends to a cold server by what warm ones answer here, scaled to its warmth, so that the sum
-// over all gateways stays within it; the first comes at a random part of the space.
+// over all gateways stays within it; the first comes at a random part of the space, from when it is heard of.
 func (g *Gateway) coldRoom(s *server) bool {
 	w := g.warmth(s)
 	if w >= 1 {
@@ -981,5 +986,5 @@
 	}
 	most := min(coldRate, coldPart*cmp.Or(g.set.FallMultiple, math.Inf(1)))
 	rate := most * w * max(g.perWarm, startPerHost/g.sharers)
-	return (g.now - max(s.lastSent, s.Started)).Seconds() >= s.phase/rate
+	return (g.now - s.lastSent).Seconds() >= s.phase/rate
 }
