--- a/internal/ingress/clock_test.go
+++ b/internal/ingress/clock_test.go
@@ -89,21 +89,11 @@
 	return name == "watches fall silent" || name == "silent for 100ms" || name == "silent for 1.3s"
 }
 
-// away lets discovery be in a state for a while, in which a backend begins to drain.
-func away(state standin.State, d time.Duration) crisis {
-	return func(c *callers) (int64, time.Time) {
-		time.Sleep(20 * time.Second)
-		c.at.SetState(state)
-		time.Sleep(d)
-		rev := c.at.Change(target(0, "DRAINING"))
-		c.at.SetState(standin.Up)
-		return rev, time.Now()
-	}
-}
-
-// atStart is the same around the start of all clients.
-func atStart(state standin.State, d time.Duration) crisis {
+// away lets discovery be in a state for a while, some time after the start of all clients; meanwhile a backend begins to
+// drain.
+func away(start time.Duration, state standin.State, d time.Duration) crisis {
 	return func(c *callers) (int64, time.Time) {
+		time.Sleep(start)
 		c.at.SetState(state)
 		time.Sleep(d)
 		rev := c.at.Change(target(0, "DRAINING"))
@@ -129,14 +119,14 @@
 		"watches end, then silence": func(c *callers) (int64, time.Time) {
 			time.Sleep(20 * time.Second)
 			c.at.BreakWatches()
-			return away(standin.Silent, 3*time.Second)(c)
+			return away(20*time.Second, standin.Silent, 3*time.Second)(c)
 		},
 	}
 	for name, state := range map[string]standin.State{"silent": standin.Silent, "down": standin.Down} {
 		for _, d := range []time.Duration{100 * time.Millisecond, 1300 * time.Millisecond, 3900 * time.Millisecond,
 			8 * time.Second, 41 * time.Second} {
-			out[fmt.Sprintf("%s for %v", name, d)] = away(state, d)
-			out[fmt.Sprintf("started %s for %v", name, d)] = atStart(state, d)
+			out[fmt.Sprintf("%s for %v", name, d)] = away(20*time.Second, state, d)
+			out[fmt.Sprintf("started %s for %v", name, d)] = away(0, state, d)
 		}
 	}
 	return out
