--- a/logic/calls.go
+++ b/logic/calls.go
@@ -19,6 +19,7 @@
 	r     *request // nil: it only corrects
 	claim float64  // units, or permits, of the request that it adds
 	owed  float64  // what it adds besides, used or corrected before
+	seen  float64  // of a correction: the total that it was made from
 	at    time.Duration
 }
 
--- a/logic/central.go
+++ b/logic/central.go
@@ -101,6 +101,8 @@
 		c.owed -= call.claim
 	}
 	switch {
+	case r == nil && ev.Outcome == Done:
+		g.corrected(c, call, ev.Total)
 	case r == nil:
 	case r.final && ev.Outcome == Done && !c.ceiled(): // its client has left
 		r.leased = g.stored(call, ev.Total)
@@ -117,13 +119,21 @@
 	}
 }
 
+// corrected takes a correction back that another gateway made too, from the same total; the first of them stays.
+func (g *Gateway) corrected(c *customer, call counterCall, total float64) {
+	others := total - call.seen - call.owed
+	if call.seen > 0 && call.owed > c.plan.Burst/2 && others > call.owed/2 {
+		g.callFor(c, counterCall{name: call.name, owed: -call.owed}, c.bucket.span)
+	}
+}
+
 // pace is AIMD on the share that asks: all gateways share the counter, and its delay tells of their sum.
 func (g *Gateway) pace(o Outcome, took time.Duration) {
 	switch {
 	case o == Failed: // spoilt: no sign of a line
 	case o != Done:
 		g.askShare = max(leastAsked, g.askShare*askDown)
-	case took > g.set.CounterTimeout/4:
+	case took > g.set.CounterTimeout/2:
 		g.askShare = max(leastAsked, g.askShare*askLess)
 	default:
 		g.askShare = min(1, g.askShare+askMore/g.askShare)
@@ -170,7 +180,7 @@
 		}
 	}
 	if amend != 0 {
-		g.callFor(c, counterCall{name: call.name, owed: amend}, c.bucket.span)
+		g.callFor(c, counterCall{name: call.name, owed: amend, seen: total}, c.bucket.span)
 	}
 	return inside
 }
--- a/logic/central_test.go
+++ b/logic/central_test.go
@@ -100,3 +100,53 @@
 		}
 	}
 }
+
+// Two gateways that find a name at its start put it right from the same total; the second of them takes its correction
+// back. Else the customer would be shut out until the window of the name ends.
+func TestCorrectionThatAnotherMadeTooIsTakenBack(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		others float64 // added by other gateways between the claim's answer and the correction's, in corrections
+		want   int
+	}{{"nobody else", 0, 0}, {"another gateway", 1, 1}} {
+		t.Run(c.name, func(t *testing.T) {
+			r, call := centralCall(t, "thick")
+			const first = 1.0 // unit that another gateway has claimed just before
+			amends := only[Count](r.tell(CountReply{Name: call.Name, Outcome: Done, Total: call.Add + first}))
+			if len(amends) != 1 || amends[0].Add <= 0 {
+				t.Fatalf("calls %v, want one that puts the name right", amends)
+			}
+			total := call.Add + first + amends[0].Add*(1+c.others)
+			back := only[Count](r.tell(CountReply{Name: call.Name, Outcome: Done, Total: total}))
+			if len(back) != c.want || c.want > 0 && back[0].Add != -amends[0].Add {
+				t.Errorf("calls %v after a correction of %v, want %d that takes it back", back, amends[0].Add, c.want)
+			}
+		})
+	}
+}
+
+// A claim that finds the bucket short is a reservation: the client's repeat uses it without a call, and it is given back if
+// no repeat comes.
+func TestClaimThatFindsTooLittleIsAReservation(t *testing.T) {
+	for _, repeats := range []bool{true, false} {
+		r, call := centralCall(t, "thick")
+		filled := 14 * ((r.now + r.g.customers["c"].offset) % r.g.customers["c"].bucket.span).Seconds()
+		acts := r.tell(CountReply{Name: call.Name, Outcome: Done, Total: 25 + filled + call.Add})
+		refusals := only[Refuse](acts)
+		if len(refusals) != 1 || len(only[Count](acts)) != 0 {
+			t.Fatalf("actions %v, want a refusal and no call", acts)
+		}
+		r.pass(refusals[0].RetryAfter)
+		if repeats {
+			acts = r.tell(Arrival{Request{ID: 2, Class: "read", Plan: "thick", Customer: "c", Units: 2, Again: true,
+				GiveUpAt: r.now + 2*time.Second, Spread: 60}})
+			if len(only[Send](acts)) != 1 || len(only[Count](acts)) != 0 {
+				t.Errorf("repeat: actions %v, want it sent without a call", acts)
+			}
+			continue
+		}
+		if back := only[Count](r.pass(3 * r.g.longAim)); len(back) != 1 || back[0].Add != -2 {
+			t.Errorf("no repeat: calls %v, want the reservation given back", back)
+		}
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -82,17 +82,6 @@
 	counterFails int
 }
 
-type class struct {
-	Class
-	mean, dev float64 // latency of answers, seconds
-	good, bad int     // timely and untimely ends in this round
-}
-
-// takes is the latency to reckon with: the mean, and so many mean deviations more.
-func (c *class) takes(devs float64) time.Duration {
-	return time.Duration((c.mean + devs*c.dev) * float64(time.Second))
-}
-
 type request struct {
 	Request
 	class             *class
@@ -288,7 +277,7 @@
 		c = &customer{id: r.Customer, plan: r.plan, spread: spread, silent: !g.set.Counter, at: g.now,
 			offset: time.Duration(h.Sum64() % uint64(epochLength)), refreshed: g.now, ceilingAt: g.now,
 			place: (g.set.Me - r.First%g.set.Gateways + g.set.Gateways) % g.set.Gateways}
-		c.central = c.plan.Rate > 0 && c.plan.Burst < 2*float64(spread)*max(1, g.set.MaxUnits)
+		c.central = c.plan.Rate > 0 && c.plan.Burst < float64(spread)*max(1, g.set.MaxUnits)
 		c.block = c.plan.Burst / float64(spread) // the first block, told to the counter once half is spent
 		c.owed = c.block
 		c.level = max(0, g.set.MaxUnits-c.block, 1-c.block) // one request more before the first look
@@ -729,8 +718,7 @@
 		}
 		seen = min(t/c.mean, failPenalty)
 		clipped := min(t, c.mean*failPenalty)
-		c.dev += 0.02 * (math.Abs(clipped-c.mean) - c.dev)
-		c.mean += 0.02 * (clipped - c.mean)
+		c.learn(clipped)
 		g.lag += 0.05 * (clipped - g.lag)
 		s.fails, s.banned, s.lastDone = 0, 0, g.now
 		g.countFlow()
--- a/logic/permits.go
+++ b/logic/permits.go
@@ -1,9 +1,11 @@
 package logic
 
-import "time"
+import (
+	"time"
+)
 
 const (
-	permitDeadlines = 4                // longest deadlines in the window of a permit name
+	permitDeadlines = 2                // longest deadlines in the window of a permit name
 	permitShortest  = 4 * time.Second  // window of a permit name, at least
 	permitLongest   = 30 * time.Second // and at most: the counter keeps names for two of them
 )
@@ -18,11 +20,14 @@
 
 // askPermit lets a request that is inside its rate in, if its customer has an attempt to spare.
 func (g *Gateway) askPermit(r *request) {
-	c := r.cust
+	c, share := r.cust, g.askShare
+	if c.plan.Rate > 0 { // the rate holds most of what is beyond the limit, and a permit takes two calls
+		share *= share
+	}
 	switch {
 	case g.now < c.permits.fullUntil:
 		g.refuse(r, c.permits.fullUntil-g.now)
-	case g.shared(c) && g.rng.Float64() <= g.askShare:
+	case g.shared(c) && g.rng.Float64() <= share:
 		learn(&c.plan.permits.asked, true)
 		g.callPermits(c, counterCall{name: g.permitName(c), r: r, claim: 1})
 	default:
@@ -31,20 +36,16 @@
 	}
 }
 
-// withoutPermit decides by what is known of the plan, and by this gateway's share (mayGo). The counter has
-// counted only those that it was asked for.
+// withoutPermit decides by what is known of the plan, and by this gateway's share (mayGo).
 func (g *Gateway) withoutPermit(r *request) {
-	all := r.plan.permits
-	lacking := (1 - *all.chance(r)) / max(all.asked, leastAsked)
-	if g.shared(r.cust) && !worthGuessing(r, 1-lacking) {
+	if g.shared(r.cust) && !worthGuessing(r, r.plan.permitChance(r)) {
 		g.refuse(r, g.meanTime())
 		return
 	}
 	g.admitted(r)
 }
 
-// permitAnswered takes the counter's answer to a call on a permit name. What it counts is at least what this
-// gateway holds: a counter that came back with less is put right.
+// permitAnswered takes the answer to a call on a permit name; a counter that came back empty is put right.
 func (g *Gateway) permitAnswered(c *customer, call counterCall, ev CountReply) {
 	present := call.name == g.permitName(c)
 	if ev.Outcome.NeverRan() {
