--- a/logic/central.go
+++ b/logic/central.go
@@ -119,7 +119,7 @@
 	}
 }
 
-// corrected takes a correction back that another gateway made too, from the same total; the first of them stays.
+// corrected takes a correction back that another gateway made too, from the same total; the first stays.
 func (g *Gateway) corrected(c *customer, call counterCall, total float64) {
 	others := total - call.seen - call.owed
 	if call.seen > 0 && call.owed > c.plan.Burst/2 && others > call.owed/2 {
