--- /dev/null
+++ b/internal/ingress/client_test.go
@@ -0,0 +1,395 @@
+package ingress
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+)
+
+// The command, customer, id, key and body go on as they came; d becomes what is left of it.
+func TestCommandGoesOn(t *testing.T) {
+	be := serving(t, "value")
+	list := fleetOf(be.addr)
+	addr, _ := startIngress(t, testConfig(registry(t, list, nil), list))
+	nc, in := dial(t, addr)
+	io.WriteString(nc, command("Q.DO", "00000000b4d65521", "9b1f03aa5c7e2d41",
+		"c=keyed,t=p,d=9000,k=5c0f,units=2,spread=1,first=0,r=1", "BODY\r\n"))
+	wantValue(t, in)
+	got := be.seen()[0]
+	var left int
+	if _, err := fmt.Sscanf(got[3], "c=keyed,t=p,d=%d,k=5c0f,units=2,spread=1,first=0,r=1", &left); err != nil {
+		t.Fatalf("fields %q: %v", got[3], err)
+	}
+	if left < 1 || left > 9000 {
+		t.Fatalf("d=%d, want what is left of 9000", left)
+	}
+	got[3] = ""
+	if fmt.Sprint(got) != fmt.Sprint([]string{"Q.DO", "00000000b4d65521", "9b1f03aa5c7e2d41", "", "BODY\r\n"}) {
+		t.Fatalf("command %q", got)
+	}
+}
+
+// Bad input gets one error line and reaches no backend; where the framing holds, the connection goes on.
+func TestBadInput(t *testing.T) {
+	be := serving(t, "value")
+	list := fleetOf(be.addr)
+	addr, _ := startIngress(t, testConfig(registry(t, list, nil), list))
+	long := strings.Repeat("x", maxValue+1)
+	for name, c := range map[string]struct {
+		in     string
+		closed bool
+	}{
+		"unknown command":  {command("HELLO", "3"), false},
+		"no fields":        {command("Q.ASK"), false},
+		"bad customer":     {command("Q.ASK", "zz", "9b1f03aa5c7e2d41", readFields), false},
+		"large customer":   {command("Q.ASK", "ffffffffb4d65521", "9b1f03aa5c7e2d41", readFields), false},
+		"bad id":           {command("Q.ASK", "00000000b4d65521", "9", readFields), false},
+		"no d":             {ask(1, "c=read,t=p,units=1,spread=1,first=0"), false},
+		"bad d":            {ask(1, "c=read,t=p,d=-1,units=1,spread=1,first=0"), false},
+		"huge d":           {ask(1, "c=read,t=p,d=99999999999,units=1,spread=1,first=0"), false},
+		"many units":       {ask(1, "c=read,t=p,d=9,units=5,spread=1,first=0"), false},
+		"odd units":        {ask(1, "c=read,t=p,d=9,units=0x1p1,spread=1,first=0"), false},
+		"wide set":         {ask(1, "c=read,t=p,d=9,units=1,spread=2,first=0"), false},
+		"set elsewhere":    {ask(1, "c=read,t=p,d=9,units=1,spread=1,first=1"), false},
+		"long key":         {command("Q.DO", "00000000b4d65521", "9b1f03aa5c7e2d41", "c=keyed,t=p,d=9,units=1,spread=1,first=0,k="+strings.Repeat("k", 300)), false},
+		"empty array":      {"*0\r\n", false},
+		"null array":       {"*-1\r\n", false},
+		"60 MB":            {"*5\r\n$4\r\nQ.DO\r\n$60000000\r\n", true},
+		"bad units":        {ask(1, "c=read,t=p,d=9,units=NaN,spread=1,first=0"), false},
+		"no value":         {ask(1, "c=read,t=p,d"), false},
+		"twice":            {ask(1, readFields+",d=7"), false},
+		"unknown class":    {ask(1, "c=odd,t=p,d=9,units=1,spread=1,first=0"), false},
+		"unknown plan":     {ask(1, "c=read,t=odd,d=9,units=1,spread=1,first=0"), false},
+		"wrong command":    {ask(1, "c=write,t=p,d=9,units=1,spread=1,first=0"), false},
+		"no key":           {command("Q.DO", "00000000b4d65521", "9b1f03aa5c7e2d41", "c=keyed,t=p,d=9,units=1,spread=1,first=0"), false},
+		"not an array":     {"PING\r\n", true},
+		"negative bulk":    {"*1\r\n$-5\r\n", true},
+		"null bulk":        {"*1\r\n$-1\r\n", false},
+		"overflowing bulk": {"*1\r\n$9223372036854775807\r\n", true},
+		"many elements":    {"*1000000\r\n", true},
+		"oversized":        {command("Q.DO", "00000000b4d65521", "9b1f03aa5c7e2d41", "c=write", long), true},
+		"endless line":     {"*" + strings.Repeat("1", 4000), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			nc, in := dial(t, addr)
+			go io.WriteString(nc, c.in)
+			if got := line(t, in); !strings.HasPrefix(got, "-ERR ") {
+				t.Fatalf("answer %q", got)
+			}
+			if c.closed {
+				if rest, err := io.ReadAll(in); len(rest) > 0 || err != nil {
+					t.Fatalf("after the error: %q, %v", rest, err)
+				}
+				return
+			}
+			io.WriteString(nc, command("PING"))
+			if got := line(t, in); got != "+PONG" {
+				t.Fatalf("PING after the error: %q", got)
+			}
+		})
+	}
+	if got := be.seen(); len(got) > 0 {
+		t.Fatalf("sent to a backend: %q", got)
+	}
+}
+
+// Answers leave in the order of the commands, whatever comes first from the backends.
+func TestPipelinedAnswersInOrder(t *testing.T) {
+	second := make(chan struct{})
+	be := newBackend(t, func(_ int, args []string, _ net.Conn) string {
+		if strings.HasSuffix(args[2], "1") {
+			<-second // the first is answered last
+		} else {
+			close(second)
+		}
+		return "*3\r\n$1\r\n" + args[2][15:] + "\r\n$-1\r\n$-1\r\n"
+	})
+	list := fleetOf(be.addr)
+	addr, _ := startIngress(t, testConfig(registry(t, list, nil), list))
+	nc, in := dial(t, addr)
+	io.WriteString(nc, ask(1, readFields)+ask(2, readFields)+command("PING"))
+	for _, want := range []string{"$1", "1", "$1", "2", "+PONG"} {
+		if got := line(t, in); got != want {
+			t.Fatalf("%q, want %q", got, want)
+		}
+	}
+}
+
+// Each command gets its own answer or none: what stands behind an answer, or is of no known form, ends its connection.
+// Once a second copy was served to the next request.
+func TestOneAnswerForEachCommand(t *testing.T) {
+	value := func(args []string) string {
+		return "*3\r\n$16\r\n" + args[2] + "\r\n$-1\r\n$4\r\nqps=\r\n"
+	}
+	sent := make(chan struct{}, 1) // what stands behind the answer is on its way too
+	for name, say := range map[string]func(n int, args []string, nc net.Conn) string{
+		"second copy":  func(_ int, args []string, _ net.Conn) string { return value(args) + value(args) },
+		"noise behind": func(_ int, args []string, _ net.Conn) string { return value(args) + "\x00\xff" },
+		"copy apart": func(_ int, args []string, nc net.Conn) string {
+			io.WriteString(nc, value(args))
+			io.WriteString(nc, value(args))
+			sent <- struct{}{}
+			return ""
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			be := newBackend(t, say)
+			list := fleetOf(be.addr)
+			addr, _ := startIngress(t, testConfig(registry(t, list, nil), list))
+			nc, in := dial(t, addr)
+			for i := range 20 {
+				io.WriteString(nc, ask(i, readFields))
+				if a, b := line(t, in), line(t, in); a != "$16" || b != fmt.Sprintf("%016x", i) {
+					t.Fatalf("request %d: answer %q %q", i, a, b)
+				}
+				if name == "copy apart" {
+					<-sent
+				}
+			}
+			if n := be.conns.Load(); n != 20 {
+				t.Fatalf("%d connections, want a new one each time", n)
+			}
+		})
+	}
+}
+
+// With all descriptors for clients in use, an idle connection makes room for a new one.
+func TestIdleClientMakesRoom(t *testing.T) {
+	be := newBackend(t, nil)
+	list := fleetOf(be.addr)
+	cfg := testConfig(registry(t, list, nil), list)
+	cfg.Sockets = 128 // 16 for clients
+	addr, _ := startIngress(t, cfg)
+	for range 22 {
+		nc, in := dial(t, addr)
+		io.WriteString(nc, command("PING"))
+		if got := line(t, in); got != "+PONG" {
+			t.Fatal(got)
+		}
+	}
+}
+
+// Beyond the open requests that the settings allow, or the memory for them, a request is turned away unseen.
+// When to come again it is told only where the settings allow that, and for no longer.
+func TestMostOpen(t *testing.T) {
+	for longest, want := range map[time.Duration]string{0: "-BUSY", 100 * time.Millisecond: "-BUSY 100", time.Second: "-BUSY 250"} {
+		t.Run(want, func(t *testing.T) { testMostOpen(t, longest, want) })
+	}
+}
+
+func testMostOpen(t *testing.T, longest time.Duration, want string) {
+	be := newBackend(t, func(int, []string, net.Conn) string { return "" })
+	list := fleetOf(be.addr)
+	cfg := testConfig(registry(t, list, nil), list)
+	cfg.Connections.MaxOpen = 2
+	cfg.Settings.MaxRetryAfter = longest
+	addr, _ := startIngress(t, cfg)
+	first, _ := dial(t, addr)
+	io.WriteString(first, ask(1, readFields)+ask(2, readFields))
+	for len(be.seen()) < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	nc, in := dial(t, addr)
+	io.WriteString(nc, ask(3, readFields))
+	if got := line(t, in); got != want {
+		t.Fatalf("answer %q, want %q", got, want)
+	}
+}
+
+// The same where the commands that are kept would fill the memory; what ends makes room again.
+func TestMostHeld(t *testing.T) {
+	g := idleGateway(t, newBackend(t, nil).addr)
+	c := newClient(newFront(nil, g, 1, 1<<20), nil)
+	arrive := func(key uint64) *request {
+		r := &request{key: key, size: g.mostHeld - 1000, slot: &slot{c: c}, args: make([][]byte, 4)}
+		r.Class, r.Plan, r.Units, r.Spread, r.GiveUpAt = "read", "p", 1, 1, g.now+time.Minute
+		g.handle(arrived{r})
+		return r
+	}
+	first, second := arrive(1), arrive(2)
+	if first.final || string(second.slot.reply) != "-BUSY\r\n" {
+		t.Fatalf("first final: %v; second answered %q", first.final, second.slot.reply)
+	}
+	g.handle(abandoned{[]*request{first}})
+	if third := arrive(3); third.final {
+		t.Fatalf("third answered %q after the first had ended", third.slot.reply)
+	}
+}
+
+// A client that leaves ends its request: the attempt is given up, and nothing is kept of it.
+func TestClientLeaves(t *testing.T) {
+	gone := make(chan struct{})
+	be := newBackend(t, func(_ int, _ []string, nc net.Conn) string {
+		go func() {
+			nc.Read(make([]byte, 1)) // ends when the ingress gives the attempt up
+			close(gone)
+		}()
+		<-gone
+		return ""
+	})
+	list := fleetOf(be.addr)
+	addr, _ := startIngress(t, testConfig(registry(t, list, nil), list))
+	nc, _ := dial(t, addr)
+	io.WriteString(nc, ask(1, readFields))
+	for len(be.seen()) < 1 {
+		time.Sleep(time.Millisecond)
+	}
+	nc.Close()
+	<-gone
+}
+
+// What comes on a connection that is closing is dropped, however much: a reader that waited there for room
+// kept a shutdown from ending.
+func TestClosingConnectionTakesNothing(t *testing.T) {
+	c := newClient(nil, nil)
+	c.ended = true
+	for range mostPipelined + 1 {
+		if c.open(nil) != nil {
+			t.Fatal("a command was taken")
+		}
+	}
+}
+
+// limits notes the read limits that are set on a connection.
+type limits struct {
+	net.Conn
+	set []bool
+}
+
+func (l *limits) SetReadDeadline(t time.Time) error {
+	l.set = append(l.set, !t.IsZero())
+	return nil
+}
+
+// A command that has begun must end in time, so that a half-open client does not stay for good; between
+// commands a client may be silent.
+func TestOnlyPartialCommandsHaveALimit(t *testing.T) {
+	near, far := net.Pipe()
+	c := newClient(newFront(nil, nil, 1, 1<<20), &limits{Conn: near})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c.read()
+	}()
+	ping := command("PING")
+	for _, part := range []string{ping, ping[:5], ping[5:], ping} {
+		io.WriteString(far, part)
+	}
+	far.Close()
+	<-done
+	if got := c.nc.(*limits).set; fmt.Sprint(got) != "[true false]" {
+		t.Fatalf("limits set: %v, want one inside the split command, taken off after it", got)
+	}
+}
+
+// A client that leaves its answers unread loses its connection before they fill the memory, and not one that reads.
+func TestSlowReaderIsCutOff(t *testing.T) {
+	f := newFront(nil, nil, 2, 1000)
+	var ends [2]net.Conn
+	var clients [2]*client
+	for i := range ends {
+		near, far := net.Pipe()
+		ends[i], clients[i] = far, newClient(f, near)
+		f.clients[clients[i]] = true
+	}
+	clients[0].open(nil).answer(make([]byte, 900))
+	clients[1].open(nil).answer(make([]byte, 200))
+	ends[1].SetWriteDeadline(time.Now()) // nobody reads it: a write waits for ever
+	if _, err := ends[0].Write([]byte("x")); !errors.Is(err, io.ErrClosedPipe) {
+		t.Fatalf("the slow reader's connection was kept: %v", err)
+	}
+	if _, err := ends[1].Write([]byte("x")); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatalf("the other's was closed: %v", err)
+	}
+}
+
+// Clients that say nothing, or half a command, are closed within 3 s, those that ask once and stay a little after 2 s;
+// while hundreds of them sit there, usual clients still get in.
+func TestSilentClients(t *testing.T) {
+	be := serving(t, "value")
+	list := fleetOf(be.addr)
+	cfg := testConfig(registry(t, list, nil), list)
+	cfg.Sockets = 128 // 48 for clients
+	addr, _ := startIngress(t, cfg)
+	began := time.Now()
+	var silent []net.Conn
+	for i := range 40 {
+		nc, in := dial(t, addr)
+		switch i % 3 {
+		case 1:
+			io.WriteString(nc, "*5\r\n$4\r\nQ.")
+		case 2:
+			io.WriteString(nc, command("PING"))
+			line(t, in)
+		}
+		silent = append(silent, nc)
+	}
+	for _, nc := range silent {
+		if _, err := io.ReadAll(nc); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if took := time.Since(began); took < 2*time.Second || took > 20*time.Second {
+		t.Fatalf("closed after %v", took)
+	}
+	for range 200 {
+		dial(t, addr)
+	}
+	for i := range 20 {
+		nc, in := dial(t, addr)
+		io.WriteString(nc, ask(i, readFields))
+		wantValue(t, in)
+	}
+}
+
+// Nonsense over and over is answered ever more slowly, and ends the connection.
+func TestRepeatedNonsense(t *testing.T) {
+	addr, _ := startIngress(t, testConfig(registry(t, fleetOf(), nil), fleetOf()))
+	nc, in := dial(t, addr)
+	io.WriteString(nc, strings.Repeat(command("HELLO"), 500))
+	rest, err := io.ReadAll(in)
+	if n := strings.Count(string(rest), "-ERR"); n > mostFaults || n == 0 {
+		t.Fatalf("%d errors, %v; want at most %d and the end", n, err, mostFaults)
+	}
+}
+
+// A request's id is taken until its time is up, also once it has been answered: whoever copies it is not served.
+func TestCopiedID(t *testing.T) {
+	be := serving(t, "value")
+	list := fleetOf(be.addr)
+	addr, _ := startIngress(t, testConfig(registry(t, list, nil), list))
+	nc, in := dial(t, addr)
+	io.WriteString(nc, ask(1, readFields))
+	wantValue(t, in)
+	other, in := dial(t, addr)
+	io.WriteString(other, ask(1, readFields))
+	if got := line(t, in); !strings.HasPrefix(got, "-ERR") {
+		t.Fatalf("answer %q", got)
+	}
+}
+
+// The memory of commands that are coming in is bounded over all connections.
+func TestBudget(t *testing.T) {
+	b := newBudget(smallBuffer + 10)
+	fill := func(in *inbox) error {
+		return in.fill(func(p []byte) (int, error) { return len(p), nil })
+	}
+	one, two := inbox{budget: b}, inbox{budget: b}
+	for _, step := range []struct {
+		in   *inbox
+		want error
+	}{{&one, nil}, {&two, nil}, {&one, nil}, {&two, errMemory}} {
+		if err := fill(step.in); err != step.want {
+			t.Fatalf("%v, want %v", err, step.want)
+		}
+	}
+	one.close()
+	if err := fill(&two); err != nil {
+		t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/internal/ingress/fixtures_test.go
@@ -0,0 +1,286 @@
+package ingress
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/tidwall/redcon"
+
+	"larchwick/internal/standin"
+	"larchwick/internal/wire"
+	"larchwick/logic"
+)
+
+// listen opens an ephemeral port on the loopback address and hands every connection to serve.
+func listen(t *testing.T, serve func(net.Conn)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var open []net.Conn
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			open = append(open, nc)
+			mu.Unlock()
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				defer nc.Close()
+				serve(nc)
+			}()
+		}
+	}()
+	t.Cleanup(func() {
+		ln.Close()
+		mu.Lock()
+		for _, nc := range open {
+			nc.Close()
+		}
+		mu.Unlock()
+		wg.Wait()
+	})
+	return ln.Addr().String()
+}
+
+// backendFake answers commands by their order: what say returns goes out as it is, "" is silence.
+type backendFake struct {
+	addr     string
+	conns    atomic.Int32
+	mu       sync.Mutex
+	commands [][]string
+}
+
+func newBackend(t *testing.T, say func(n int, args []string, nc net.Conn) string) *backendFake {
+	b := &backendFake{}
+	b.addr = listen(t, func(nc net.Conn) {
+		b.conns.Add(1)
+		in := redcon.NewReader(nc)
+		for {
+			cmd, err := in.ReadCommand()
+			if err != nil {
+				return
+			}
+			var args []string
+			for _, a := range cmd.Args {
+				args = append(args, string(a))
+			}
+			b.mu.Lock()
+			b.commands = append(b.commands, args)
+			n := len(b.commands)
+			b.mu.Unlock()
+			if say == nil {
+				continue
+			}
+			if s := say(n, args, nc); s != "" {
+				io.WriteString(nc, s)
+			}
+		}
+	})
+	return b
+}
+
+func (b *backendFake) seen() [][]string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.commands
+}
+
+const served = "*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n"
+
+// serving is a backend that serves every request with a value; a command in a form that no client sends fails the test.
+func serving(t *testing.T, value string) *backendFake {
+	f := &backendFake{}
+	b := standin.NewBackend(standin.BackendConfig{Value: func(args []string) string {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.commands = append(f.commands, args)
+		return value
+	}})
+	ln := loopback(t)
+	f.addr = ln.Addr().String()
+	go b.Serve(&countedListener{ln, &f.conns})
+	t.Cleanup(func() {
+		b.Close()
+		if n := b.Stats().Odd; n > 0 {
+			t.Errorf("%d commands in odd forms", n)
+		}
+	})
+	return f
+}
+
+// countedListener counts the connections that it accepts.
+type countedListener struct {
+	net.Listener
+	conns *atomic.Int32
+}
+
+func (l *countedListener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err == nil {
+		l.conns.Add(1)
+	}
+	return nc, err
+}
+
+func loopback(t *testing.T) net.Listener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ln
+}
+
+// registry is discovery's agent: a list, and a watch that tells what is sent to changes, as versions of its own count.
+func registry(t *testing.T, list Fleet, changes <-chan Fleet) string {
+	d, ln, done := standin.NewDiscovery(standin.DiscoveryConfig{Rev: list.Rev - 1}), loopback(t), make(chan struct{})
+	d.SetList(standinTargets(list))
+	go d.Serve(ln)
+	go func() {
+		for {
+			select {
+			case <-done:
+				return
+			case f := <-changes:
+				if f.All {
+					d.SetList(standinTargets(f))
+				} else {
+					d.Change(standinTargets(f)...)
+				}
+			}
+		}
+	}()
+	t.Cleanup(func() {
+		close(done)
+		d.Close()
+	})
+	return ln.Addr().String()
+}
+
+func standinTargets(f Fleet) []standin.Target {
+	targets := make([]standin.Target, len(f.Targets))
+	for i, t := range f.Targets {
+		targets[i] = standin.Target(t)
+	}
+	return targets
+}
+
+func fleetOf(addrs ...string) Fleet {
+	f := Fleet{Rev: 1, All: true}
+	for i, a := range addrs {
+		f.Targets = append(f.Targets, Target{UID: fmt.Sprint("s", i), Endpoint: a, Zone: "a", State: "SERVING"})
+	}
+	return f
+}
+
+// setting up one ingress
+
+func testConfig(disc string, known Fleet) Config {
+	return Config{Listen: "127.0.0.1:0", Discovery: disc, Sockets: 256, Known: known,
+		Settings: logic.Settings{Gateways: 1, MaxAttempts: 1, MayCancel: true, MaxUnits: 4,
+			Classes: []logic.Class{
+				{Name: "read", Worth: 1, Aim: 20 * time.Second, Deadline: 60 * time.Second, Effect: logic.Safe},
+				{Name: "write", Worth: 1, Aim: 20 * time.Second, Deadline: 60 * time.Second, Effect: logic.Unsafe},
+				{Name: "keyed", Worth: 1, Aim: 20 * time.Second, Deadline: 60 * time.Second, Effect: logic.Keyed}},
+			Plans: []logic.Plan{{Name: "p", Price: 1}}},
+		Connections: wire.Connections{Idle: 15 * time.Second, ConnectTimeout: 5 * time.Second}}
+}
+
+// startIngress runs an ingress and returns its address and what stops it and gives Run's result.
+func startIngress(t *testing.T, cfg Config) (addr string, stop func() error) {
+	t.Helper()
+	g, stop := runIngress(t, cfg)
+	return g.Addr().String(), stop
+}
+
+func startGateway(t *testing.T, cfg Config) (addr string, g *Gateway) {
+	t.Helper()
+	g, _ = runIngress(t, cfg)
+	return g.Addr().String(), g
+}
+
+func runIngress(t *testing.T, cfg Config) (g *Gateway, stop func() error) {
+	t.Helper()
+	g, err := New(cfg, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- g.Run(ctx) }()
+	stop = sync.OnceValue(func() error {
+		cancel()
+		return <-done
+	})
+	t.Cleanup(func() { stop() })
+	select {
+	case <-g.Ready():
+	case err := <-done:
+		done <- err
+		t.Fatal("the ingress ended: ", err)
+	}
+	return g, stop
+}
+
+// dial opens a client's connection; every read of it ends the test after a minute.
+func dial(t *testing.T, addr string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	nc, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nc.Close() })
+	nc.SetReadDeadline(time.Now().Add(time.Minute))
+	return nc, bufio.NewReader(nc)
+}
+
+func command(args ...string) string {
+	b := redcon.AppendArray(nil, len(args))
+	for _, a := range args {
+		b = redcon.AppendBulkString(b, a)
+	}
+	return string(b)
+}
+
+func ask(id int, fields string) string {
+	return command("Q.ASK", "00000000b4d65521", fmt.Sprintf("%016x", id), fields)
+}
+
+const readFields = "c=read,t=p,d=50000,units=1,spread=1,first=0"
+
+func line(t *testing.T, in *bufio.Reader) string {
+	t.Helper()
+	s, err := in.ReadString('\n')
+	if err != nil {
+		t.Fatalf("read %q: %v", s, err)
+	}
+	return strings.TrimRight(s, "\r\n")
+}
+
+func wantValue(t *testing.T, in *bufio.Reader) {
+	t.Helper()
+	if a, b := line(t, in), line(t, in); a != "$5" || b != "value" {
+		t.Fatalf("answer %q %q, want the backend's value", a, b)
+	}
+}
+
+var quiet = slog.New(slog.DiscardHandler)
--- a/logic/calls.go
+++ b/logic/calls.go
@@ -20,6 +20,7 @@
 	claim float64  // units, or permits, of the request that it adds
 	owed  float64  // what it adds besides, used or corrected before
 	seen  float64  // of a correction: the total that it was made from
+	last  bool     // it reads the name of the last window
 	at    time.Duration
 }
 
@@ -70,6 +71,33 @@
 	g.callFor(c, call, g.permitSpan())
 }
 
+// filled is what the rate has filled into a central bucket since the window began.
+func (g *Gateway) filled(c *customer, window int64) float64 {
+	return c.plan.Rate * (g.now + c.offset - time.Duration(window)*c.bucket.span).Seconds()
+}
+
+// readLastWindow asks what the bucket lacked as the window ended before the given one: the name of a new window
+// starts at 0, which is a full bucket.
+func (g *Gateway) readLastWindow(c *customer, window int64) {
+	if !c.ceiled() {
+		g.callFor(c, counterCall{name: c.nameOf(window - 1), last: true}, c.bucket.span)
+	}
+}
+
+// corrected takes the answer to a call that is on no request's behalf. What the last window's name lacks is carried
+// over. A correction that another gateway has made too, from the same total, is taken back; the first stays.
+func (g *Gateway) corrected(c *customer, call counterCall, total float64) {
+	switch others := total - call.seen - call.owed; {
+	case call.last:
+		window := int64((g.now + c.offset) / c.bucket.span)
+		if lacking := min(total-g.filled(c, window-1), 1.5*c.plan.Burst); total > 0 && lacking > 0 {
+			g.callFor(c, counterCall{name: c.nameOf(window), owed: lacking}, c.bucket.span)
+		}
+	case call.seen > 0 && call.owed > c.plan.Burst/2 && others > call.owed/2:
+		g.callFor(c, counterCall{name: call.name, owed: -call.owed}, c.bucket.span)
+	}
+}
+
 // take returns the oldest call that is out for a name, which an answer is for.
 func (c *customer) take(name string) (counterCall, bool) {
 	i := slices.IndexFunc(c.calls, func(call counterCall) bool { return call.name == name })
@@ -87,7 +115,9 @@
 }
 
 // name is that of the store in the customer's window.
-func (c *customer) name() string { return c.id + ":" + strconv.FormatInt(c.epoch, 36) }
+func (c *customer) name() string { return c.nameOf(c.epoch) }
+
+func (c *customer) nameOf(window int64) string { return c.id + ":" + strconv.FormatInt(window, 36) }
 
 // permitName is that of the permits in the present window; a new window begins with none.
 func (g *Gateway) permitName(c *customer) string {
--- a/logic/central.go
+++ b/logic/central.go
@@ -119,14 +119,6 @@
 	}
 }
 
-// corrected takes a correction back that another gateway made too, from the same total; the first stays.
-func (g *Gateway) corrected(c *customer, call counterCall, total float64) {
-	others := total - call.seen - call.owed
-	if call.seen > 0 && call.owed > c.plan.Burst/2 && others > call.owed/2 {
-		g.callFor(c, counterCall{name: call.name, owed: -call.owed}, c.bucket.span)
-	}
-}
-
 // pace is AIMD on the share that asks: all gateways share the counter, and its delay tells of their sum.
 func (g *Gateway) pace(o Outcome, took time.Duration) {
 	switch {
@@ -161,12 +153,12 @@
 	r := call.r
 	c := r.cust
 	epoch := int64((call.at + c.offset) / c.bucket.span)
-	filled := c.plan.Rate * (g.now + c.offset - time.Duration(epoch)*c.bucket.span).Seconds()
-	before := total - call.claim
-	level, amend := c.plan.Burst+filled-before, 0.0
+	filled, before, amend := g.filled(c, epoch), total-call.claim, 0.0
+	level := c.plan.Burst + filled - before
 	switch {
 	case before-call.owed < zeroUnits: // the first of this window, or of a counter that came back empty
 		level, amend = c.plan.Burst, filled
+		g.readLastWindow(c, epoch)
 	case level > c.plan.Burst*(1+overflow):
 		amend = level - c.plan.Burst
 	}
--- a/logic/central_test.go
+++ b/logic/central_test.go
@@ -150,3 +150,35 @@
 		}
 	}
 }
+
+// A new window's name starts at 0, which is a full bucket. Who finds it so reads the last one's, and what was lacking there is
+// lacking in the new one too: a customer gets no second burst.
+func TestWhatABucketLacksOutlivesItsWindow(t *testing.T) {
+	const rate, late = 14.0, 2.0
+	for _, c := range []struct {
+		name    string
+		lacked  float64 // units as the last window ended
+		carried float64 // by now the rate has filled in 2 s more
+	}{{"nothing", 0, 0}, {"less than has filled in", 20, 0}, {"nearly all", 45, 45 - late*rate}} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, fleetSettings(), Server{ID: "s", State: Running})
+			cust := r.g.customer(&request{Request: Request{Customer: "c", Spread: 60}, plan: r.g.plans["thick"]})
+			span := cust.bucket.span
+			r.now += span - (r.now+cust.offset)%span + time.Duration(late*float64(time.Second))
+			call := only[Count](r.tell(Arrival{Request{ID: 1, Class: "read", Plan: "thick", Customer: "c", Units: 2,
+				GiveUpAt: r.now + 2*time.Second, Spread: 60}}))[0]
+			calls := only[Count](r.tell(CountReply{Name: call.Name, Outcome: Done, Total: call.Add}))
+			if len(calls) == 0 || calls[0].Name == call.Name || calls[0].Add != 0 {
+				t.Fatalf("calls %v, want the last window's name read first", calls)
+			}
+			total := rate*span.Seconds() + c.lacked
+			got := 0.0
+			for _, k := range only[Count](r.tell(CountReply{Name: calls[0].Name, Outcome: Done, Total: total})) {
+				got += k.Add
+			}
+			if got < c.carried-0.1 || got > c.carried+0.1 {
+				t.Errorf("carried over %v, want %v", got, c.carried)
+			}
+		})
+	}
+}
