--- a/logic/doc.go
+++ b/logic/doc.go
@@ -25,5 +25,6 @@
 // let in, and one take-off as its attempt ends. A name lasts some deadlines, which bounds what a crashed gateway
 // holds, and a total below what a gateway holds itself is put right: the counter came back with less. Where the
 // counter is silent or short of calls a request goes without a permit if that is worth more than it costs, within
-// this gateway's share of the limit.
+// this gateway's share of the limit. Beside a rate, permits are asked for only while the counter has calls to spare:
+// the rate's own calls hold more of what is beyond.
 package logic
--- a/logic/estimates.go
+++ b/logic/estimates.go
@@ -40,13 +40,9 @@
 }
 
 // permitChance is the chance that a permit is free which the counter is not asked for. The counter has counted only
-// those that it was asked for; beside a rate, which holds the most greedy, that is no matter.
+// those that it was asked for.
 func (p *plan) permitChance(r *request) float64 {
-	lacking := 1 - *p.permits.chance(r)
-	if p.Rate <= 0 {
-		lacking /= max(p.permits.asked, leastAsked)
-	}
-	return 1 - lacking
+	return 1 - (1-*p.permits.chance(r))/max(p.permits.asked, leastAsked)
 }
 
 func newPlan(p Plan) *plan { return &plan{p, newEvidence(), newEvidence()} }
--- a/logic/permits.go
+++ b/logic/permits.go
@@ -6,6 +6,7 @@
 
 const (
 	permitDeadlines = 2                // longest deadlines in the window of a permit name
+	spareShare      = 0.99             // share that asks, from which on the counter has calls to spare
 	permitShortest  = 4 * time.Second  // window of a permit name, at least
 	permitLongest   = 30 * time.Second // and at most: the counter keeps names for two of them
 )
@@ -20,14 +21,12 @@
 
 // askPermit lets a request that is inside its rate in, if its customer has an attempt to spare.
 func (g *Gateway) askPermit(r *request) {
-	c, share := r.cust, g.askShare
-	if c.plan.Rate > 0 { // the rate holds most of what is beyond the limit, and a permit takes two calls
-		share *= share
-	}
+	c := r.cust
+	spare := c.plan.Rate <= 0 || g.askShare >= spareShare // the rate's own calls go first
 	switch {
 	case g.now < c.permits.fullUntil:
 		g.refuse(r, c.permits.fullUntil-g.now)
-	case g.shared(c) && g.rng.Float64() <= share:
+	case g.shared(c) && spare && g.rng.Float64() <= g.askShare:
 		learn(&c.plan.permits.asked, true)
 		g.callPermits(c, counterCall{name: g.permitName(c), r: r, claim: 1})
 	default:
@@ -36,9 +35,10 @@
 	}
 }
 
-// withoutPermit decides by what is known of the plan, and by this gateway's share (mayGo).
+// withoutPermit decides by what is known of the plan, and by this gateway's share (mayGo). Beside a rate, which
+// holds most of what is beyond, that share is all.
 func (g *Gateway) withoutPermit(r *request) {
-	if g.shared(r.cust) && !worthGuessing(r, r.plan.permitChance(r)) {
+	if r.plan.Rate <= 0 && g.shared(r.cust) && !worthGuessing(r, r.plan.permitChance(r)) {
 		g.refuse(r, g.meanTime())
 		return
 	}
