--- a/logic/permits.go
+++ b/logic/permits.go
@@ -35,8 +35,8 @@
 	}
 }
 
-// withoutPermit decides by what is known of the plan and by this gateway's share (mayGo), beside a rate, which
-// holds most, by that share alone.
+// withoutPermit decides by what is known of the plan and by this gateway's share (mayGo). Beside a rate,
+// which holds most, by that share alone.
 func (g *Gateway) withoutPermit(r *request) {
 	if r.plan.Rate <= 0 && g.shared(r.cust) && !worthGuessing(r, r.plan.permitChance(r)) {
 		g.refuse(r, g.meanTime())
