--- a/logic/central_test.go
+++ b/logic/central_test.go
@@ -182,3 +182,20 @@
 		})
 	}
 }
+
+// What an answer settles for a request whose units the counter has granted is told with the customer's next call.
+func TestSettledUnitsAreToldWithTheNextCall(t *testing.T) {
+	r, call := centralCall(t, "thick")
+	r.g.plans["thick"].SettledByReply = true
+	filled := 14 * ((r.now + r.g.customers["c"].offset) % r.g.customers["c"].bucket.span).Seconds()
+	sends := only[Send](r.tell(CountReply{Name: call.Name, Outcome: Done, Total: filled + call.Add}))
+	if len(sends) != 1 {
+		t.Fatalf("sends %v, want one", sends)
+	}
+	r.tell(AttemptEnded{ID: 1, Server: "s", Outcome: Done, Took: ms, Finished: true, Settled: 3.5})
+	next := only[Count](r.tell(Arrival{Request{ID: 2, Class: "read", Plan: "thick", Customer: "c", Units: 2,
+		GiveUpAt: r.now + 2*time.Second, Spread: 60}}))
+	if len(next) != 1 || next[0].Add != 2+1.5 {
+		t.Errorf("calls %v, want one for 2 units and the 1.5 that were settled", next)
+	}
+}
--- a/logic/fleetquota_test.go
+++ b/logic/fleetquota_test.go
@@ -23,8 +23,10 @@
 		{fleetCase{gateways: 30, cost: 4, limits: limitBoth, counter: counter}, 0.7},
 		{fleetCase{gateways: 150, cost: 1.2, counter: counter, length: 8 * time.Second}, 0.9},
 		{fleetCase{gateways: 150, cost: 4, counter: counter, length: 8 * time.Second}, 0.9},
+		{fleetCase{gateways: 100, cost: 2, counter: counterCase{absent: true}, length: 8 * time.Second}, 0.4},
+		{fleetCase{gateways: 300, cost: 2, limits: limitOpen, counter: counter, length: 8 * time.Second}, 0.75},
 	} {
-		t.Run(fmt.Sprint(c.gateways, " gateways, cost ", c.cost, ", limits ", c.limits), func(t *testing.T) {
+		t.Run(fmt.Sprint(c.gateways, " gateways, cost ", c.cost, ", limits ", c.limits, ", counter ", !c.counter.absent), func(t *testing.T) {
 			ours, late := newFleetDay(t, c.fleetCase, 1).play()
 			t.Logf("served %.2f (late-seeing %.2f), price %.3f (%.3f), %d calls for %d tries", ours.served(), late.served(),
 				ours.price(), late.price(), ours.calls, ours.tries)
