--- a/logic/doc.go
+++ b/logic/doc.go
@@ -1,5 +1,5 @@
 // Package logic decides for one gateway of a metered service. Its interface (settings, events, actions) is
-// in api.go; what decides is in logic.go, central.go and permits.go.
+// in api.go; what decides is in logic.go (admission, leases, queue, window, attempts), central.go, permits.go and servers.go.
 //
 // A request spends units of its customer's leased block (lease), or claims them as it comes (ask). It joins
 // the queue of its priority, class worth x plan price, and leaves when the AIMD window of attempts has room,
