--- a/logic/calls.go
+++ b/logic/calls.go
@@ -10,8 +10,12 @@
 // This file keeps account of the calls to the counter that are out, and of the names that they go to. What is
 // called for, and what an answer means, is decided in central.go and permits.go.
 
-// permitMark sets a permit name apart from that of the store.
-const permitMark = "!"
+const (
+	permitMark      = "!"              // sets a permit name apart from that of the store
+	permitDeadlines = 4                // longest deadlines in the window of a permit name
+	permitShortest  = 4 * time.Second  // window of a permit name, at least
+	permitLongest   = 30 * time.Second // and at most: the counter keeps names for two of them
+)
 
 // counterCall is a call that is out for a customer with a central bucket or with permits.
 type counterCall struct {
@@ -35,6 +39,8 @@
 
 // permitPool is what a gateway knows of a customer's permits.
 type permitPool struct {
+	evidence                 // of this customer alone
+	answers    int           // that it rests on
 	window     int64         // of the present name
 	held, owed int           // here, under that name; of calls that were turned away
 	fullUntil  time.Duration // all were out
@@ -119,6 +125,11 @@
 
 func (c *customer) nameOf(window int64) string { return c.id + ":" + strconv.FormatInt(window, 36) }
 
+// permitSpan is the window of the permit names, the same at all gateways: it bounds what a crashed one holds.
+func (g *Gateway) permitSpan() time.Duration {
+	return min(max(permitDeadlines*g.longDeadline, permitShortest), permitLongest)
+}
+
 // permitName is that of the permits in the present window; a new window begins with none.
 func (g *Gateway) permitName(c *customer) string {
 	if window := int64((g.now + c.offset) / g.permitSpan()); window != c.permits.window {
--- a/logic/central.go
+++ b/logic/central.go
@@ -114,7 +114,7 @@
 		g.settle(r, g.grant(r, ev.Total, call.name))
 	default:
 		r.leased = g.stored(call, ev.Total)
-		learn(r.plan.stores.chance(r), r.leased)
+		learn(r.plan.stores.chance(r), r.leased, evidenceWeight)
 		g.settle(r, r.leased)
 	}
 }
--- a/logic/estimates.go
+++ b/logic/estimates.go
@@ -13,6 +13,8 @@
 	evidenceWeight = 0.05 // of one answer of the counter
 	priorFirst     = 0.8  // share of first tries inside quotas, before the counter has told
 	priorRepeat    = 0.5  // the same of repeats
+	ownWeight      = 0.2  // of one answer about a customer's permits, for that customer
+	ownAnswers     = 4    // from so many on a customer is judged by its own
 )
 
 // class is a class, with how long its answers take.
@@ -39,12 +41,6 @@
 	stores, permits *evidence
 }
 
-// permitChance is the chance that a permit is free which the counter is not asked for. The counter has counted only
-// those that it was asked for.
-func (p *plan) permitChance(r *request) float64 {
-	return 1 - (1-*p.permits.chance(r))/max(p.permits.asked, leastAsked)
-}
-
 func newPlan(p Plan) *plan { return &plan{p, newEvidence(), newEvidence()} }
 
 // evidence is what the counter's answers have shown of a plan.
@@ -64,9 +60,41 @@
 }
 
 // learn moves a share towards what one more request has shown.
-func learn(share *float64, seen bool) {
-	*share -= evidenceWeight * *share
+func learn(share *float64, seen bool, weight float64) {
+	*share -= weight * *share
 	if seen {
-		*share += evidenceWeight
+		*share += weight
+	}
+}
+
+// learnPermit takes an answer of the counter in: as evidence of the customer and, while that is new here, of its plan. A
+// few that always ask for more than they may would else stand for all of the plan.
+func (c *customer) learnPermit(r *request, granted bool) {
+	own, all := &c.permits, c.plan.permits
+	if own.answers == 0 {
+		own.granted = all.granted
+	}
+	if own.answers < ownAnswers {
+		learn(all.chance(r), granted, evidenceWeight)
 	}
+	own.answers++
+	learn(own.chance(r), granted, ownWeight)
+}
+
+// permitChance is the chance that a permit is free. The counter counts only those that it was asked for: without asking,
+// the others have to be reckoned in.
+func (c *customer) permitChance(r *request, unasked bool) float64 {
+	lacking := 1 - *c.plan.permits.chance(r)
+	if c.permits.answers >= ownAnswers {
+		lacking = 1 - *c.permits.chance(r)
+	}
+	if unasked {
+		lacking /= max(c.plan.permits.asked, leastAsked)
+	}
+	return 1 - lacking
+}
+
+// meanTime is the mean latency of answers.
+func (g *Gateway) meanTime() time.Duration {
+	return max(time.Duration(g.lag*float64(time.Second)), g.sweep)
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -69,6 +69,7 @@
 
 	askShare     float64 // share of requests with central buckets or permits that asks
 	counterFails int
+	meanStake    float64 // of the requests that a permit may be asked for
 }
 
 type request struct {
--- a/logic/permits.go
+++ b/logic/permits.go
@@ -4,17 +4,7 @@
 	"time"
 )
 
-const (
-	permitDeadlines = 2                // longest deadlines in the window of a permit name
-	spareShare      = 0.99             // share that asks, from which on the counter has calls to spare
-	permitShortest  = 4 * time.Second  // window of a permit name, at least
-	permitLongest   = 30 * time.Second // and at most: the counter keeps names for two of them
-)
-
-// permitSpan is the window of the permit names, the same at all gateways.
-func (g *Gateway) permitSpan() time.Duration {
-	return min(max(permitDeadlines*g.longDeadline, permitShortest), permitLongest)
-}
+const spareShare = 0.99 // share that asks, from which on the counter has calls to spare
 
 // shared says whether the limit is held by permits: where it has an attempt for each gateway it is split.
 func (g *Gateway) shared(c *customer) bool { return g.set.Counter && c.spread > c.plan.Open }
@@ -22,23 +12,35 @@
 // askPermit lets a request that is inside its rate in, if its customer has an attempt to spare.
 func (g *Gateway) askPermit(r *request) {
 	c := r.cust
-	spare := c.plan.Rate <= 0 || g.askShare >= spareShare // the rate's own calls go first
 	switch {
 	case g.now < c.permits.fullUntil:
 		g.refuse(r, c.permits.fullUntil-g.now)
-	case g.shared(c) && spare && g.rng.Float64() <= g.askShare:
-		learn(&c.plan.permits.asked, true)
+	case g.shared(c) && g.asksPermit(r):
+		learn(&c.plan.permits.asked, true, evidenceWeight)
 		g.callPermits(c, counterCall{name: g.permitName(c), r: r, claim: 1})
 	default:
-		learn(&c.plan.permits.asked, false)
+		learn(&c.plan.permits.asked, false, evidenceWeight)
 		g.withoutPermit(r)
 	}
 }
 
+// asksPermit says whether the counter is asked. Where calls are short they go to the requests for which a wrong
+// guess would cost most; beside a rate, that rate's own calls go first.
+func (g *Gateway) asksPermit(r *request) bool {
+	chance := r.cust.permitChance(r, false)
+	wrong := min(chance, (1-chance)*max(0, r.plan.ExcessCost-r.plan.ExcessWorth))
+	stake := r.Units * r.plan.Price * r.class.Worth * wrong
+	g.meanStake += evidenceWeight * (stake - g.meanStake)
+	if r.plan.Rate > 0 || g.askShare >= spareShare {
+		return g.askShare >= spareShare
+	}
+	return g.rng.Float64()*g.meanStake <= g.askShare*stake
+}
+
 // withoutPermit decides by what is known of the plan and by this gateway's share (mayGo). Beside a rate,
 // which holds most, by that share alone.
 func (g *Gateway) withoutPermit(r *request) {
-	if r.plan.Rate <= 0 && g.shared(r.cust) && !worthGuessing(r, r.plan.permitChance(r)) {
+	if r.plan.Rate <= 0 && g.shared(r.cust) && !worthGuessing(r, r.cust.permitChance(r, true)) {
 		g.refuse(r, g.meanTime())
 		return
 	}
@@ -76,16 +78,11 @@
 		g.refuse(r, g.meanTime())
 	}
 	if ev.Outcome == Done {
-		learn(r.plan.permits.chance(r), granted)
+		c.learnPermit(r, granted)
 	}
 	g.releasePermits(r)
 }
 
-// meanTime is the mean latency of answers.
-func (g *Gateway) meanTime() time.Duration {
-	return max(time.Duration(g.lag*float64(time.Second)), g.sweep)
-}
-
 // releasePermits takes off what a request holds beyond its attempts; one that may still be sent keeps one.
 func (g *Gateway) releasePermits(r *request) {
 	keep := r.outs
