--- a/logic/permits.go
+++ b/logic/permits.go
@@ -24,8 +24,8 @@
 	}
 }
 
-// asksPermit says whether the counter is asked. Where calls are short they go to the requests for which a wrong
-// guess would cost most; beside a rate, that rate's own calls go first.
+// asksPermit says whether the counter is asked. Where calls are short they go to the requests for which a
+// wrong guess would cost most; beside a rate, that rate's own calls go first.
 func (g *Gateway) asksPermit(r *request) bool {
 	chance := r.cust.permitChance(r, false)
 	wrong := min(chance, (1-chance)*max(0, r.plan.ExcessCost-r.plan.ExcessWorth))
