--- a/logic/doc.go
+++ b/logic/doc.go
@@ -1,5 +1,5 @@
 // Package logic decides for one gateway of a metered service. Its interface (settings, events, actions) is
-// in api.go; what decides is in logic.go, central.go and permits.go.
+// in api.go; what decides is in logic.go (admission, leases, queue, window, attempts), central.go, permits.go and servers.go.
 //
 // A request spends units of its customer's leased block (lease), or claims them as it comes (ask). It joins
 // the queue of its priority, class worth x plan price, and leaves when the AIMD window of attempts has room,
@@ -25,5 +25,6 @@
 // let in, and one take-off as its attempt ends. A name lasts some deadlines, which bounds what a crashed gateway
 // holds, and a total below what a gateway holds itself is put right: the counter came back with less. Where the
 // counter is silent or short of calls a request goes without a permit if that is worth more than it costs, within
-// this gateway's share of the limit.
+// this gateway's share of the limit. Beside a rate, permits are asked for only while the counter has calls to spare:
+// the rate's own calls hold more of what is beyond.
 package logic
