--- a/logic/fleetquota_test.go
+++ b/logic/fleetquota_test.go
@@ -23,6 +23,9 @@
 		{fleetCase{gateways: 30, cost: 4, limits: limitBoth, counter: counter}, 0.7},
 		{fleetCase{gateways: 150, cost: 1.2, counter: counter, length: 8 * time.Second}, 0.9},
 		{fleetCase{gateways: 150, cost: 4, counter: counter, length: 8 * time.Second}, 0.9},
+		{fleetCase{gateways: 30, cost: 1.2, counter: counter, restartAt: 7 * time.Second, restarted: 0.7}, 0.9},
+		{fleetCase{gateways: 30, cost: 1.2, counter: counterCase{callsPerRequest: 2, delay: 2 * ms, silentFrom: 5 * time.Second,
+			silentFor: 4 * time.Second, forgets: true}}, 0.7},
 		{fleetCase{gateways: 100, cost: 2, counter: counterCase{absent: true}, length: 8 * time.Second}, 0.4},
 		{fleetCase{gateways: 300, cost: 2, limits: limitOpen, counter: counter, length: 8 * time.Second}, 0.75},
 	} {
