--- a/logic/calls.go
+++ b/logic/calls.go
@@ -11,6 +11,7 @@
 // called for, and what an answer means, is decided in central.go and permits.go.
 
 const (
+	mostCarried     = 1.5              // bursts that a window hands on as lacking, at most
 	permitMark      = "!"              // sets a permit name apart from that of the store
 	permitDeadlines = 4                // longest deadlines in the window of a permit name
 	permitShortest  = 4 * time.Second  // window of a permit name, at least
@@ -96,7 +97,7 @@
 	switch others := total - call.seen - call.owed; {
 	case call.last:
 		window := int64((g.now + c.offset) / c.bucket.span)
-		if lacking := min(total-g.filled(c, window-1), 1.5*c.plan.Burst); total > 0 && lacking > 0 {
+		if lacking := min(total-g.filled(c, window-1), mostCarried*c.plan.Burst); total > 0 && lacking > 0 {
 			g.callFor(c, counterCall{name: c.nameOf(window), owed: lacking}, c.bucket.span)
 		}
 	case call.seen > 0 && call.owed > c.plan.Burst/2 && others > call.owed/2:
--- a/logic/fleetday_test.go
+++ b/logic/fleetday_test.go
@@ -15,8 +15,7 @@
 
 const (
 	fleetDayLength = 16 * time.Second
-	stateDelay     = 50 * ms // a policy that sees the true state sees it this late
-	unitsAtOnce    = 4       // units of the largest request
+	unitsAtOnce    = 4 // units of the largest request
 )
 
 // fleetCase is one draw of a fleet day.
@@ -115,16 +114,16 @@
 	s.history = append(s.history, storeState{now, s.level, s.open})
 }
 
-// seen is the state as it was stateDelay ago.
+// seen is the state as it was stateLate ago.
 func (s *exactStore) seen(p Plan, now time.Duration) storeState {
-	i, _ := slices.BinarySearchFunc(s.history, now-stateDelay, func(a storeState, t time.Duration) int {
+	i, _ := slices.BinarySearchFunc(s.history, now-stateLate, func(a storeState, t time.Duration) int {
 		return int(a.at - t)
 	})
 	if i == 0 {
 		return storeState{level: p.Burst}
 	}
 	state := s.history[i-1]
-	state.level = min(p.Burst, state.level+p.Rate*(now-stateDelay-state.at).Seconds())
+	state.level = min(p.Burst, state.level+p.Rate*(now-stateLate-state.at).Seconds())
 	return state
 }
 
@@ -178,7 +177,6 @@
 	lastID    RequestID
 	ours      fleetBill
 	late      fleetBill
-	debug     func(t *fleetTry, id RequestID, sent, inside bool)
 }
 
 type fleetGateway struct {
@@ -362,7 +360,7 @@
 	d.askLate(c, units, work, settled-units)
 }
 
-// askLate decides by the true state of stateDelay ago, what was sent since counted in.
+// askLate decides by the true state of stateLate ago, what was sent since counted in.
 func (d *fleetDay) askLate(c *fleetCustomer, units float64, work time.Duration, guessedLess float64) {
 	seen := c.late.seen(c.plan, d.now)
 	if c.plan.Rate > 0 && seen.level < units || c.plan.Open > 0 && seen.open >= c.plan.Open {
@@ -432,9 +430,6 @@
 	if number == 0 {
 		attempt.inside = c.ours.begin(c.plan, try.units, d.now)
 		d.ours.count(c.plan, try.units, attempt.inside)
-		if d.debug != nil {
-			d.debug(try, act.ID, true, attempt.inside)
-		}
 	} else {
 		c.ours.open++
 		work = time.Duration(d.rng.ExpFloat64() * float64(fleetWork))
@@ -467,9 +462,6 @@
 	if inside {
 		d.ours.refusedWithRoom++
 	}
-	if d.debug != nil {
-		d.debug(try, act.ID, false, inside)
-	}
 	if try.tries >= 3 || d.rng.Float64() > 0.85 {
 		return
 	}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -248,7 +248,7 @@
 	demand, others            float64       // units a second asked for here; taken by the other gateways
 	epoch                     int64
 	total, adding, want       float64 // last of this epoch's name; the call that is out adds, for a block of
-	calling, silent, central  bool    // a call is out; no answers come; blocks would be under two requests
+	calling, silent, central  bool    // a call is out; no answers come; blocks would be under one request
 	bucket                    centralBucket
 	permits                   permitPool
 	calls                     []counterCall
@@ -713,20 +713,18 @@
 func (g *Gateway) takeBack(r *request) {
 	if c := r.cust; r.final && r.outs == 0 && !r.ran && (r.charged || r.leased) {
 		room := g.blockRoom(c)
-		c.block += r.Units
-		if c.central {
-			if r.leased {
-				c.block -= r.Units
-				kept := min(r.Units, max(0, max(1, g.set.MaxUnits)-c.bucket.reserved))
-				c.bucket.reserved += kept
-				c.owed -= r.Units - kept
-				c.bucket.matures = max(c.bucket.matures, g.now)
-			} else {
-				c.block -= max(0, r.Units-room)
-				c.owed -= r.Units
-			}
-		} else {
+		switch {
+		case !c.central:
+			c.block += r.Units
 			c.borrow(-max(0, r.Units-room))
+		case r.leased: // a reservation, for the next request
+			kept := min(r.Units, max(0, max(1, g.set.MaxUnits)-c.bucket.reserved))
+			c.bucket.reserved += kept
+			c.owed -= r.Units - kept
+			c.bucket.matures = max(c.bucket.matures, g.now)
+		default:
+			c.block += min(r.Units, room)
+			c.owed -= r.Units
 		}
 		r.charged, r.leased = false, false
 	}
--- a/logic/permits.go
+++ b/logic/permits.go
@@ -1,8 +1,6 @@
 package logic
 
-import (
-	"time"
-)
+import "time"
 
 const spareShare = 0.99 // share that asks, from which on the counter has calls to spare
 
