--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -3,33 +3,21 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"os"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/tidwall/redcon"
-
-	"larchwick/logic"
 )
 
 const (
 	mostPipelined = 64                      // commands of one connection whose answers are not written yet; more are turned away
 	mostTurned    = 512                     // the same, and then the connection ends
 	firstCommand  = 2400 * time.Millisecond // from connecting to the end of the first command, and for the rest of a later one
-	idleTime      = 2100 * time.Millisecond // a connection without an open request is closed then
-	tidyEvery     = 250 * time.Millisecond
-	writeStall    = 3 * time.Second // for a client to read an answer
-	mostKey       = 256
-	slotPause     = 5 * time.Millisecond // before a further connection is closed for want of a place
-	newcomer      = 50 * time.Millisecond
-	lingerTime    = 250 * time.Millisecond // for the client to see our end of a connection
 	lingerBytes   = 64 << 10
 	floodBytes    = 2 << 20 // the same while an answer is owed: what two systems' buffers hold is read in time
 	discardBuffer = 16 << 10
@@ -38,38 +26,6 @@
 	mostFaults    = 10                     // pieces of nonsense before a connection ends
 )
 
-// request is a client's command, and the gateway's books on it.
-type request struct {
-	logic.Request
-	key      uint64 // the client's id
-	slot     *slot
-	args     [][]byte // the command as it came: name, customer, id, fields, body
-	size     int      // of the args
-	dFrom    int      // where the value of d stands in the fields
-	dTo      int
-	attempts []*attempt
-	out      int
-	final    bool
-}
-
-// left says whether the client has gone; the word of it may still be on its way to the gateway.
-func (r *request) left() bool { return r.slot != nil && r.slot.c.gone.Load() }
-
-// front is the server side: it accepts clients on one address.
-type front struct {
-	ln         net.Listener
-	gw         *Gateway
-	slots      chan struct{} // one for each connection that may be open
-	frames     *budget       // memory of commands that are coming in
-	unsent     atomic.Int64
-	mostUnsent int64 // bytes of answers that clients have not read, all together
-	mu         sync.Mutex
-	clients    map[*client]bool
-	draining   bool
-	accepted   chan struct{} // closed when no more are
-	wg         sync.WaitGroup
-}
-
 // client is one connection: a goroutine that reads, one that writes. Answers go out in the order of commands.
 type client struct {
 	f       *front
@@ -94,51 +50,12 @@
 	gone    atomic.Bool // it is over: no answer is kept and no attempt begins any more; set under mu
 }
 
-// slot keeps the place of one command's answer.
-type slot struct {
-	c     *client
-	reply []byte // nil until answered
-	req   *request
-}
-
 // The events of a client.
 type (
 	arrived   struct{ r *request }
 	abandoned struct{ reqs []*request }
 )
 
-func newFront(ln net.Listener, gw *Gateway, most, memory int) *front {
-	return &front{ln: ln, gw: gw, slots: make(chan struct{}, most), frames: newBudget(memory),
-		mostUnsent: int64(memory), clients: map[*client]bool{}, accepted: make(chan struct{})}
-}
-
-// accept takes connections until the listener closes, or none has come for as long as a drain waits for them.
-func (f *front) accept() {
-	defer close(f.accepted)
-	for {
-		f.takeSlot()
-		nc, err := f.ln.Accept()
-		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
-			return
-		}
-		if err != nil { // out of descriptors, say: a pause, then on
-			<-f.slots
-			time.Sleep(5 * time.Millisecond)
-			continue
-		}
-		c := newClient(f, nc)
-		f.mu.Lock()
-		f.clients[c] = true
-		f.wg.Add(1)
-		closing := f.draining
-		f.mu.Unlock()
-		if closing {
-			c.closeSoon()
-		}
-		go c.serve()
-	}
-}
-
 func newClient(f *front, nc net.Conn) *client {
 	c := &client{f: f, nc: nc, wake: make(chan struct{}, 1), written: make(chan struct{}), used: time.Now()}
 	if f != nil {
@@ -147,122 +64,6 @@
 	return c
 }
 
-// takeSlot waits for the place of a further connection. Clients keep idle ones for good and hundreds may say nothing at
-// all, so where all places are taken one of these is closed.
-func (f *front) takeSlot() {
-	for {
-		select {
-		case f.slots <- struct{}{}:
-			return
-		default:
-		}
-		f.closeIdlest(time.Now())
-		select {
-		case f.slots <- struct{}{}:
-			return
-		case <-time.After(slotPause):
-		}
-	}
-}
-
-// closeIdlest closes the oldest connection that has said nothing yet, or else the one that has been between requests
-// for the longest.
-func (f *front) closeIdlest(now time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var idlest *client
-	var since time.Time
-	var spoken bool
-	for c := range f.clients {
-		c.mu.Lock()
-		free := !c.closing && len(c.waiting) == 0 && (c.spoken || now.Sub(c.used) > newcomer)
-		if free && (idlest == nil || spoken && !c.spoken || spoken == c.spoken && c.used.Before(since)) {
-			idlest, since, spoken = c, c.used, c.spoken
-		}
-		c.mu.Unlock()
-	}
-	if idlest != nil {
-		idlest.close()
-	}
-}
-
-// tidy closes, until ctx ends, the connections that have been without an open request for too long: every one of them
-// keeps memory and a descriptor, and some clients ask once and stay for good, or never ask.
-func (f *front) tidy(ctx context.Context) {
-	tick := time.NewTicker(tidyEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-tick.C:
-			f.mu.Lock()
-			for c := range f.clients {
-				c.mu.Lock()
-				idle := now.Sub(c.used)
-				over := len(c.waiting) == 0 && (c.spoken && idle > idleTime || !c.spoken && idle > firstCommand-tidyEvery)
-				c.mu.Unlock()
-				if over {
-					c.close()
-				}
-			}
-			f.mu.Unlock()
-		}
-	}
-}
-
-// closeFullest closes the connection of the slowest reader.
-func (f *front) closeFullest() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var fullest *client
-	most := 0
-	for c := range f.clients {
-		c.mu.Lock()
-		if c.unsent > most {
-			fullest, most = c, c.unsent
-		}
-		c.mu.Unlock()
-	}
-	if fullest != nil {
-		fullest.nc.Close()
-	}
-}
-
-// drain closes every connection as soon as nothing on it waits for an answer, and the listener. Those that have come and
-// wait to be accepted hold requests already: they are taken first.
-func (f *front) drain(ctx context.Context) {
-	f.mu.Lock()
-	f.draining = true
-	for c := range f.clients {
-		c.closeSoon()
-	}
-	f.mu.Unlock()
-	if l, ok := f.ln.(*net.TCPListener); ok {
-		l.SetDeadline(time.Now().Add(backlogTime))
-		select {
-		case <-f.accepted:
-		case <-time.After(2 * backlogTime):
-		}
-	}
-	f.ln.Close()
-	done := make(chan struct{})
-	go func() {
-		f.wg.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
-		f.mu.Lock()
-		for c := range f.clients {
-			c.nc.Close()
-		}
-		f.mu.Unlock()
-		<-done
-	}
-}
-
 // serve runs a connection to its end.
 func (c *client) serve() {
 	defer c.f.wg.Done()
@@ -541,182 +342,3 @@
 		c.fault("unknown command")
 	}
 }
-
-// open keeps a place for an answer; nil when the connection takes no more.
-func (c *client) open(r *request) *slot {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.ended {
-		return nil
-	}
-	s := &slot{c: c, req: r}
-	c.pending++
-	c.used, c.spoken = time.Now(), true
-	c.waiting = append(c.waiting, s)
-	return s
-}
-
-// reply answers a command without the gateway.
-func (c *client) reply(b []byte) {
-	if s := c.open(nil); s != nil {
-		s.answer(b)
-	}
-}
-
-// answer fills the slot and never blocks. Clients that leave their answers unread lose their connections before they
-// can fill the memory.
-func (s *slot) answer(b []byte) {
-	c := s.c
-	c.mu.Lock()
-	if c.gone.Load() {
-		c.mu.Unlock()
-		return
-	}
-	s.reply = b
-	c.unsent += len(b)
-	c.f.unsent.Add(int64(len(b)))
-	for len(c.waiting) > 0 && c.waiting[0].reply != nil {
-		c.out = append(c.out, c.waiting[0].reply...)
-		c.ready++
-		c.waiting[0] = nil
-		c.waiting = c.waiting[1:]
-	}
-	c.used = time.Now()
-	c.mu.Unlock()
-	if c.f.unsent.Load() > c.f.mostUnsent {
-		c.f.closeFullest()
-	}
-	c.signal()
-}
-
-// write sends answers as they come due, and ends the connection between requests once it is closing.
-func (c *client) write(done <-chan struct{}) {
-	var buf []byte
-	for {
-		select {
-		case <-done:
-			return
-		case <-c.wake:
-		}
-		c.mu.Lock()
-		buf, c.out = c.out, buf[:0]
-		ready := c.ready
-		c.ready = 0
-		c.ended = c.closing && len(c.waiting) == 0
-		last := c.ended
-		c.mu.Unlock()
-		if len(buf) > 0 {
-			c.nc.SetWriteDeadline(time.Now().Add(writeStall))
-			_, err := c.nc.Write(buf)
-			c.mu.Lock()
-			c.unsent -= len(buf)
-			c.pending -= ready
-			c.mu.Unlock()
-			c.f.unsent.Add(-int64(len(buf)))
-			if err != nil {
-				c.nc.Close()
-				return
-			}
-		}
-		if cap(buf) > smallBuffer {
-			buf = nil
-		}
-		if last { // the end is told first, so that no answer is lost to a reset
-			c.nc.SetReadDeadline(time.Now().Add(lingerTime))
-			if t, ok := c.nc.(*net.TCPConn); ok {
-				t.CloseWrite()
-			}
-			return
-		}
-	}
-}
-
-// parse checks a request; it goes on only if a backend would take it.
-func (g *Gateway) parse(args [][]byte, at time.Time) (*request, error) {
-	do := string(args[0]) == "Q.DO"
-	if len(args) < 4 || len(args) > 5 {
-		return nil, fmt.Errorf("%s wants a customer, an id, fields and at most a body", args[0])
-	}
-	customer, err := hex16(args[1])
-	if err != nil || customer >= 1<<33 {
-		return nil, errors.New("the customer is not 16 hex digits below 2^33")
-	}
-	r := &request{}
-	if r.key, err = hex16(args[2]); err != nil {
-		return nil, errors.New("the id is not 16 hex digits")
-	}
-	fields := string(args[3])
-	r.Customer = string(args[1])
-	var d, spread, first uint64
-	var key string
-	seen := map[string]bool{}
-	for from := 0; from <= len(fields); {
-		part, _, _ := strings.Cut(fields[from:], ",")
-		name, v, ok := strings.Cut(part, "=")
-		if !ok || name == "" || seen[name] {
-			return nil, errors.New("the fields are not a list of different names and values")
-		}
-		seen[name] = true
-		var err error
-		switch name {
-		case "c":
-			r.Class = v
-		case "t":
-			r.Plan = v
-		case "d":
-			d, err = strconv.ParseUint(v, 10, 31)
-			r.dFrom, r.dTo = from+2, from+len(part)
-		case "r":
-			r.Again = v == "1"
-		case "k":
-			key = v
-		case "units":
-			if strings.Trim(v, "0123456789.") != "" {
-				return nil, errors.New("field units is not a plain number")
-			}
-			r.Units, err = strconv.ParseFloat(v, 64)
-		case "spread":
-			spread, err = strconv.ParseUint(v, 10, 31)
-		case "first":
-			first, err = strconv.ParseUint(v, 10, 31)
-		}
-		if err != nil {
-			return nil, fmt.Errorf("field %s cannot be read", name)
-		}
-		from += len(part) + 1
-	}
-	class, known := g.classes[r.Class]
-	switch {
-	case !known:
-		return nil, errors.New("unknown class")
-	case !g.plans[r.Plan]:
-		return nil, errors.New("unknown plan")
-	case do == (class.Effect == logic.Safe):
-		return nil, errors.New("the class does not go with the command")
-	case class.Effect == logic.Keyed && (key == "" || len(key) > mostKey):
-		return nil, errors.New("field k is missing or too long")
-	case d == 0 || !seen["first"]:
-		return nil, errors.New("field d or first is missing or nought")
-	case spread == 0 || spread > uint64(g.cfg.Settings.Gateways) || first >= uint64(g.cfg.Settings.Gateways):
-		return nil, errors.New("there is no such set of gateways")
-	case !(r.Units > 0) || r.Units > g.mostUnits:
-		return nil, errors.New("field units is missing or out of range")
-	}
-	// The module takes a customer's plan and set from the first request that names it, so only what can be true
-	// goes on. A client that says it will wait for ever is not believed.
-	r.Spread, r.First = int(spread), int(first)
-	wait := min(time.Duration(d)*time.Millisecond, 2*class.Deadline)
-	r.GiveUpAt = g.clock(at) + wait - min(answerMargin, wait/4)
-	for _, a := range args { // the buffer is the connection's
-		r.args = append(r.args, append(make([]byte, 0, len(a)), a...))
-		r.size += len(a)
-	}
-	return r, nil
-}
-
-func hex16(b []byte) (uint64, error) {
-	if len(b) != 16 {
-		return 0, errors.New("not 16 digits")
-	}
-	return strconv.ParseUint(string(b), 16, 64)
-}
--- /dev/null
+++ b/internal/ingress/parse.go
@@ -0,0 +1,120 @@
+package ingress
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"larchwick/logic"
+)
+
+const mostKey = 256 // bytes of an idempotency key
+
+// request is a client's command, and the gateway's books on it.
+type request struct {
+	logic.Request
+	key      uint64 // the client's id
+	slot     *slot
+	args     [][]byte // the command as it came: name, customer, id, fields, body
+	size     int      // of the args
+	dFrom    int      // where the value of d stands in the fields
+	dTo      int
+	attempts []*attempt
+	out      int
+	final    bool
+}
+
+// left says whether the client has gone; the word of it may still be on its way to the gateway.
+func (r *request) left() bool { return r.slot != nil && r.slot.c.gone.Load() }
+
+// parse checks a request; it goes on only if a backend would take it.
+func (g *Gateway) parse(args [][]byte, at time.Time) (*request, error) {
+	do := string(args[0]) == "Q.DO"
+	if len(args) < 4 || len(args) > 5 {
+		return nil, fmt.Errorf("%s wants a customer, an id, fields and at most a body", args[0])
+	}
+	customer, err := hex16(args[1])
+	if err != nil || customer >= 1<<33 {
+		return nil, errors.New("the customer is not 16 hex digits below 2^33")
+	}
+	r := &request{}
+	if r.key, err = hex16(args[2]); err != nil {
+		return nil, errors.New("the id is not 16 hex digits")
+	}
+	fields := string(args[3])
+	r.Customer = string(args[1])
+	var d, spread, first uint64
+	var key string
+	seen := map[string]bool{}
+	for from := 0; from <= len(fields); {
+		part, _, _ := strings.Cut(fields[from:], ",")
+		name, v, ok := strings.Cut(part, "=")
+		if !ok || name == "" || seen[name] {
+			return nil, errors.New("the fields are not a list of different names and values")
+		}
+		seen[name] = true
+		var err error
+		switch name {
+		case "c":
+			r.Class = v
+		case "t":
+			r.Plan = v
+		case "d":
+			d, err = strconv.ParseUint(v, 10, 31)
+			r.dFrom, r.dTo = from+2, from+len(part)
+		case "r":
+			r.Again = v == "1"
+		case "k":
+			key = v
+		case "units":
+			if strings.Trim(v, "0123456789.") != "" {
+				return nil, errors.New("field units is not a plain number")
+			}
+			r.Units, err = strconv.ParseFloat(v, 64)
+		case "spread":
+			spread, err = strconv.ParseUint(v, 10, 31)
+		case "first":
+			first, err = strconv.ParseUint(v, 10, 31)
+		}
+		if err != nil {
+			return nil, fmt.Errorf("field %s cannot be read", name)
+		}
+		from += len(part) + 1
+	}
+	class, known := g.classes[r.Class]
+	switch {
+	case !known:
+		return nil, errors.New("unknown class")
+	case !g.plans[r.Plan]:
+		return nil, errors.New("unknown plan")
+	case do == (class.Effect == logic.Safe):
+		return nil, errors.New("the class does not go with the command")
+	case class.Effect == logic.Keyed && (key == "" || len(key) > mostKey):
+		return nil, errors.New("field k is missing or too long")
+	case d == 0 || !seen["first"]:
+		return nil, errors.New("field d or first is missing or nought")
+	case spread == 0 || spread > uint64(g.cfg.Settings.Gateways) || first >= uint64(g.cfg.Settings.Gateways):
+		return nil, errors.New("there is no such set of gateways")
+	case !(r.Units > 0) || r.Units > g.mostUnits:
+		return nil, errors.New("field units is missing or out of range")
+	}
+	// The module takes a customer's plan and set from the first request that names it, so only what can be true
+	// goes on. A client that says it will wait for ever is not believed.
+	r.Spread, r.First = int(spread), int(first)
+	wait := min(time.Duration(d)*time.Millisecond, 2*class.Deadline)
+	r.GiveUpAt = g.clock(at) + wait - min(answerMargin, wait/4)
+	for _, a := range args { // the buffer is the connection's
+		r.args = append(r.args, append(make([]byte, 0, len(a)), a...))
+		r.size += len(a)
+	}
+	return r, nil
+}
+
+func hex16(b []byte) (uint64, error) {
+	if len(b) != 16 {
+		return 0, errors.New("not 16 digits")
+	}
+	return strconv.ParseUint(string(b), 16, 64)
+}
