Ingress: counters, traces and a record of each anomaly; ROUTER_LOG_LEVEL

There are counters of what became of requests, attempts, faults and connections now (every 10 s and at the end), a bounded record of each late answer with its attempts, and traces at level debug. Nothing else changes. go test ./internal/ingress ./cmd/hitchspring ./logic passes.

--- a/cmd/hitchspring/main.go
+++ b/cmd/hitchspring/main.go
@@ -21,8 +21,25 @@
 	"larchwick/internal/wire"
 )
 
+// levelVariable names the environment variable that sets the least level of the log: debug, info (the default), warn or error.
+const levelVariable = "ROUTER_LOG_LEVEL"
+
+// newLog returns the log of the process on standard error.
+func newLog(level string) *slog.Logger {
+	var least slog.Level
+	err := least.UnmarshalText([]byte(cmp.Or(level, "info")))
+	if err != nil {
+		least = slog.LevelInfo
+	}
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: least}))
+	if err != nil {
+		log.Warn("the level of the log is not known; info is used", "variable", levelVariable, "err", err)
+	}
+	return log
+}
+
 func main() {
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	log := newLog(os.Getenv(levelVariable))
 	if err := run(log); err != nil {
 		fmt.Fprintln(os.Stderr, "hitchspring:", err)
 		os.Exit(1)
--- a/internal/ingress/backend.go
+++ b/internal/ingress/backend.go
@@ -29,16 +29,17 @@
 
 // attempt is one command on its way to a backend: of a request, or a probe.
 type attempt struct {
-	req    *request // nil: a probe
-	n      int
-	be     *backend
-	began  time.Duration
-	stop   time.Duration
-	conn   *conn         // carries it; nil while it waits for one
-	handed time.Duration // when it was given to conn
-	why    logic.Outcome // given up by us: TimedOut or Cancelled; else still
-	ended  bool
-	taken  atomic.Bool // by the connection, to write it, or back from there
+	req     *request // nil: a probe
+	n       int
+	be      *backend
+	began   time.Duration
+	stop    time.Duration
+	conn    *conn         // carries it; nil while it waits for one
+	handed  time.Duration // when it was given to conn
+	why     logic.Outcome // given up by us: TimedOut or Cancelled; else still
+	ended   bool
+	outcome logic.Outcome // once it has ended
+	taken   atomic.Bool   // by the connection, to write it, or back from there
 }
 
 // backend is what the gateway's goroutine keeps of a server: its entry, its connections, and the attempts
--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -47,6 +47,7 @@
 	spoken  bool        // a whole command has come
 	closing bool        // it will end when nothing waits for an answer
 	ended   bool        // it has: nothing is taken any more
+	why     closeReason // for its end
 	gone    atomic.Bool // it is over: no answer is kept and no attempt begins any more; set under mu
 }
 
@@ -74,11 +75,12 @@
 	}()
 	if c.read() {
 		// The framing is lost. What came before is answered, then the fault, then the connection ends.
-		c.close()
+		c.close(closeForFaults)
 		c.discard()
 	}
 	left := c.leave()
 	c.nc.Close()
+	c.observe().connectionClosed(c, len(left))
 	if len(left) > 0 { // told before the writer has ended: it may not run for a while
 		c.f.gw.post(abandoned{left})
 	}
@@ -152,20 +154,47 @@
 	spoken := c.spoken
 	c.mu.Unlock()
 	if spoken || fresh <= 0 {
-		c.close()
+		c.close(closeShutdown)
 		return
 	}
-	time.AfterFunc(fresh, c.close)
+	time.AfterFunc(fresh, func() { c.close(closeShutdown) })
 }
 
 // close asks for the end of the connection at the next moment between requests.
-func (c *client) close() {
+func (c *client) close(why closeReason) {
 	c.mu.Lock()
 	c.closing = true
+	c.because(why)
 	c.mu.Unlock()
 	c.signal()
 }
 
+// breakOff ends the connection at once, whatever is owed on it.
+func (c *client) breakOff(why closeReason) {
+	c.mu.Lock()
+	c.because(why)
+	c.mu.Unlock()
+	c.nc.Close()
+}
+
+// because keeps the first reason for the end of the connection; c.mu is held.
+func (c *client) because(why closeReason) {
+	if c.why == closeByClient {
+		c.why = why
+	}
+}
+
+// observe is where what happens on the connection is counted and logged.
+func (c *client) observe() *observer { return c.f.observe }
+
+// remote is the client's address, for the log.
+func (c *client) remote() string {
+	if c.nc == nil || c.nc.RemoteAddr() == nil {
+		return ""
+	}
+	return c.nc.RemoteAddr().String()
+}
+
 func (c *client) signal() {
 	select {
 	case c.wake <- struct{}{}:
@@ -182,7 +211,7 @@
 		switch {
 		case f != nil:
 			if c.crowded(mostTurned) {
-				c.fault("too many commands at once")
+				c.fault(faultFlood, "too many commands at once")
 				return true
 			}
 			c.command(f, time.Now())
@@ -213,11 +242,17 @@
 		}
 		switch {
 		case err == nil:
-		case errors.Is(err, errFraming) || errors.Is(err, errTooLong) || errors.Is(err, errMemory):
-			c.fault(err.Error())
+		case errors.Is(err, errFraming):
+			c.fault(faultFraming, err.Error())
+			return true
+		case errors.Is(err, errTooLong):
+			c.fault(faultTooLong, err.Error())
+			return true
+		case errors.Is(err, errMemory):
+			c.fault(faultMemory, err.Error())
 			return true
 		case errors.Is(err, os.ErrDeadlineExceeded) && limited:
-			c.fault("the command does not end")
+			c.fault(faultUnfinished, "the command does not end")
 			return true
 		default:
 			return false
@@ -226,8 +261,10 @@
 }
 
 // fault answers nonsense, after a pause.
-func (c *client) fault(text string) {
-	if c.left = !c.pause(c.faults.Add(1)); !c.left {
+func (c *client) fault(kind faultKind, text string) {
+	n := c.faults.Add(1)
+	c.observe().fault(c, kind, text, n)
+	if c.left = !c.pause(n); !c.left {
 		c.reply(redcon.AppendError(nil, "ERR "+text))
 	}
 }
@@ -318,7 +355,7 @@
 func (c *client) command(f []byte, at time.Time) {
 	whole, args, _, _, err := redcon.ReadNextCommand(f, nil)
 	if err != nil || !whole || len(args) == 0 {
-		c.fault("a command is an array of bulk strings")
+		c.fault(faultCommand, "a command is an array of bulk strings")
 		return
 	}
 	switch string(args[0]) {
@@ -327,18 +364,20 @@
 	case "Q.ASK", "Q.DO":
 		r, err := c.f.gw.parse(args, at)
 		if err != nil {
-			c.fault(err.Error())
+			c.fault(faultRequest, err.Error())
 			return
 		}
 		if c.blind || c.crowded(mostPipelined) { // reading never stops, or nobody would see this client leave
+			c.observe().turnedAway(r, "the connection has too many open commands")
 			c.reply(c.f.gw.turnedAway)
 			return
 		}
 		if s := c.open(r); s != nil {
 			r.slot = s
+			c.observe().requests.Add(requestsRead)
 			c.f.gw.post(arrived{r})
 		}
 	default:
-		c.fault("unknown command")
+		c.fault(faultCommand, "unknown command")
 	}
 }
--- a/internal/ingress/front.go
+++ b/internal/ingress/front.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"net"
 	"os"
 	"sync"
@@ -30,10 +31,15 @@
 	draining   bool
 	accepted   chan struct{} // closed when no more are
 	wg         sync.WaitGroup
+	observe    *observer
 }
 
 func newFront(ln net.Listener, gw *Gateway, most, memory int) *front {
-	return &front{ln: ln, gw: gw, slots: make(chan struct{}, most), frames: newBudget(memory),
+	observe := newObserver(slog.New(slog.DiscardHandler))
+	if gw != nil {
+		observe = gw.observe
+	}
+	return &front{ln: ln, gw: gw, observe: observe, slots: make(chan struct{}, most), frames: newBudget(memory),
 		mostUnsent: int64(memory), clients: map[*client]bool{}, accepted: make(chan struct{})}
 }
 
@@ -99,7 +105,7 @@
 		c.mu.Unlock()
 	}
 	if idlest != nil {
-		idlest.close()
+		idlest.close(closeForRoom)
 	}
 }
 
@@ -120,7 +126,7 @@
 				over := len(c.waiting) == 0 && (c.spoken && idle > idleTime || !c.spoken && idle > firstCommand-tidyEvery)
 				c.mu.Unlock()
 				if over {
-					c.close()
+					c.close(closeIdle)
 				}
 			}
 			f.mu.Unlock()
@@ -142,7 +148,7 @@
 		c.mu.Unlock()
 	}
 	if fullest != nil {
-		fullest.nc.Close()
+		fullest.breakOff(closeStalled)
 	}
 }
 
@@ -173,7 +179,7 @@
 	case <-ctx.Done():
 		f.mu.Lock()
 		for c := range f.clients {
-			c.nc.Close()
+			c.breakOff(closeShutdown)
 		}
 		f.mu.Unlock()
 		<-done
--- a/internal/ingress/gateway.go
+++ b/internal/ingress/gateway.go
@@ -65,6 +65,7 @@
 	cfg     Config
 	net     wire.Connections
 	log     *slog.Logger
+	observe *observer
 	classes map[string]logic.Class
 	plans   map[string]bool
 	counter *counter
@@ -135,7 +136,7 @@
 		return nil, err
 	}
 	start := time.Now()
-	g := &Gateway{cfg: cfg, net: cfg.Connections, log: log, classes: map[string]logic.Class{}, plans: map[string]bool{},
+	g := &Gateway{cfg: cfg, net: cfg.Connections, log: log, observe: newObserver(log), classes: map[string]logic.Class{}, plans: map[string]bool{},
 		events: make(chan event, eventQueue), stopped: make(chan struct{}), ready: make(chan struct{}), start: start,
 		epoch: time.Duration(start.UnixNano()), mod: mod, requests: map[logic.RequestID]*request{},
 		keys: map[uint64]bool{}, backends: map[logic.ServerID]*backend{}, mostConns: cfg.Sockets * 3 / 8,
@@ -209,6 +210,7 @@
 		g.spawn(l.run)
 	}
 	g.spawn(g.disc.run)
+	g.spawn(g.observe.run)
 	select {
 	case <-g.disc.first:
 	case <-time.After(firstList):
@@ -235,6 +237,7 @@
 	g.post(ending{g.clock(time.Now()) + left})
 	time.Sleep(graceOpen)
 	f.drain(limit)
+	g.observe.writeCounters("shut down")
 	return nil
 }
 
@@ -365,9 +368,9 @@
 			g.giveUp(r.attempts[a.Attempt], logic.Cancelled)
 		}
 	case logic.Refuse:
-		g.answer(g.requests[a.ID], busy(a.RetryAfter))
+		g.refused(a)
 	case logic.Fail:
-		g.answer(g.requests[a.ID], []byte("-ERR failed\r\n"))
+		g.failed(a)
 	case logic.SetTimer:
 		g.after(a.After, func() { g.tell(logic.TimerFired{}) })
 	case logic.Count:
@@ -408,12 +411,14 @@
 	// a shutdown, while clients go on sending on what is still open.
 	if len(g.requests) >= g.net.MaxOpen || g.heldBytes+r.size > g.mostHeld || g.endBy > 0 && g.now >= g.endBy {
 		r.final = true
+		g.observe.turnedAway(r, "no room, or shutting down")
 		r.slot.answer(g.turnedAway)
 		return
 	}
 	if g.keys[r.key] { // the one who asked first has its answer, and nobody else
 		r.final = true
-		r.slot.c.faults.Add(1)
+		g.observe.requests.Add(requestsDuplicate)
+		g.observe.fault(r.slot.c, faultDuplicate, "the id "+r.id()+" is taken", r.slot.c.faults.Add(1))
 		r.slot.answer([]byte("-ERR a request of this id is being served\r\n"))
 		return
 	}
@@ -431,11 +436,36 @@
 	})
 }
 
+// refused gives a refusal of the module.
+func (g *Gateway) refused(a logic.Refuse) {
+	if r := g.requests[a.ID]; r != nil && !r.final {
+		g.observe.requestEnded(r, requestsRefused)
+		g.answer(r, busy(a.RetryAfter))
+	}
+}
+
+// failed gives a failure of the module.
+func (g *Gateway) failed(a logic.Fail) {
+	if r := g.requests[a.ID]; r != nil && !r.final {
+		g.observe.requestEnded(r, requestsFailed)
+		g.answer(r, []byte("-ERR failed\r\n"))
+	}
+}
+
+// noteLate tells of a request whose final answer comes after its client's time.
+func (g *Gateway) noteLate(r *request) {
+	if g.now > r.until {
+		g.observe.requests.Add(requestsLate)
+		g.observe.anomaly(r, "answered after the client's time", g.now)
+	}
+}
+
 // answer gives the final answer, once.
 func (g *Gateway) answer(r *request, b []byte) {
 	if r == nil || r.final {
 		return
 	}
+	g.noteLate(r)
 	r.final = true
 	r.slot.answer(b)
 	g.unsend(r)
@@ -463,6 +493,7 @@
 		return
 	}
 	r.final = true
+	g.observe.requestEnded(r, requestsAbandoned)
 	g.tell(logic.Abandoned{ID: r.ID})
 	g.unsend(r)
 	g.forget(r)
@@ -473,7 +504,8 @@
 	if r.final {
 		return
 	}
-	g.log.Warn("no answer in time", "class", r.Class, "attempts", len(r.attempts))
+	g.observe.requests.Add(requestsCutOff)
+	g.observe.anomaly(r, "no answer in time", g.now)
 	text := []byte("-ERR failed\r\n")
 	if len(r.attempts) == 0 { // it never ran
 		text = g.turnedAway
@@ -513,6 +545,7 @@
 		g.end(a, logic.Moot, reply{})
 		return
 	}
+	g.observe.attemptBegins(a)
 	g.at(a.stop, func() { g.giveUp(a, logic.TimedOut) })
 	g.place(a)
 }
@@ -540,7 +573,7 @@
 	if a.ended {
 		return
 	}
-	a.ended = true
+	a.ended, a.outcome = true, o
 	r := a.req
 	if r == nil {
 		g.tell(logic.ProbeEnded{Server: a.be.ID, Outcome: o, Took: g.now - a.began, Load: rep.load})
@@ -548,9 +581,13 @@
 	}
 	if o == logic.Done && rep.value == nil {
 		o = logic.Failed
+		a.outcome = o
 	}
+	g.observe.attemptEnded(a, g.now-a.began)
 	if o == logic.Done && !r.final {
+		g.noteLate(r)
 		r.final = true
+		g.observe.requestEnded(r, requestsServed)
 		r.slot.answer(redcon.AppendBulk(make([]byte, 0, len(rep.value)+16), rep.value))
 	}
 	r.out--
--- a/internal/ingress/parse.go
+++ b/internal/ingress/parse.go
@@ -23,6 +23,8 @@
 	dTo      int
 	attempts []*attempt
 	out      int
+	readAt   time.Duration // when its last byte had been read
+	until    time.Duration // when its client gives up
 	final    bool
 }
 
@@ -104,7 +106,9 @@
 	// goes on. A client that says it will wait for ever is not believed.
 	r.Spread, r.First = int(spread), int(first)
 	wait := min(time.Duration(d)*time.Millisecond, 2*class.Deadline)
-	r.GiveUpAt = g.clock(at) + wait - min(answerMargin, wait/4)
+	r.readAt = g.clock(at)
+	r.until = r.readAt + wait
+	r.GiveUpAt = r.until - min(answerMargin, wait/4)
 	for _, a := range args { // the buffer is the connection's
 		r.args = append(r.args, append(make([]byte, 0, len(a)), a...))
 		r.size += len(a)
--- a/logic/api.go
+++ b/logic/api.go
@@ -56,6 +56,18 @@
 // NeverRan reports whether the outcome proves that the attempt did not run.
 func (o Outcome) NeverRan() bool { return o == Full || o == NoConnect || o == Moot }
 
+// Outcomes is the number of outcomes.
+const Outcomes = Moot + 1
+
+// String is the outcome's name in logs.
+func (o Outcome) String() string {
+	names := [Outcomes]string{"failed", "done", "full", "timed out", "no connection", "reset", "cancelled", "moot"}
+	if o >= Outcomes {
+		return "unknown"
+	}
+	return names[o]
+}
+
 // Class is a kind of request.
 type Class struct {
 	Name         string
