--- a/internal/ingress/answers.go
+++ b/internal/ingress/answers.go
@@ -47,6 +47,11 @@
 		c.mu.Unlock()
 		return
 	}
+	if s.reply != nil {
+		c.mu.Unlock()
+		c.f.observe.violations.Add(ruleOneAnswer)
+		return
+	}
 	s.reply = b
 	c.unsent += len(b)
 	c.f.unsent.Add(int64(len(b)))
@@ -77,8 +82,14 @@
 		buf, c.out = c.out, buf[:0]
 		ready := c.ready
 		c.ready = 0
-		c.ended = c.closing && len(c.waiting) == 0
-		last := c.ended
+		last := false
+		if c.closing && len(c.waiting) == 0 {
+			if c.deaf {
+				c.ended, last = true, true
+			} else {
+				c.kick()
+			}
+		}
 		c.mu.Unlock()
 		if len(buf) > 0 {
 			c.nc.SetWriteDeadline(time.Now().Add(writeStall))
--- a/internal/ingress/backend.go
+++ b/internal/ingress/backend.go
@@ -47,7 +47,8 @@
 type backend struct {
 	logic.Server
 	addr    string
-	idle    []*conn // the last is the warmest
+	endedAt atomic.Int64 // when it was told to drain, or gone, on the gateway's clock; 0: it runs
+	idle    []*conn      // the last is the warmest
 	waiting []*attempt
 	dialing int
 	resting int
@@ -55,6 +56,15 @@
 	heard   time.Duration // last time that it answered or took a connection
 }
 
+// noteState keeps when the backend's state changed from running to another.
+func (be *backend) noteState(now time.Duration) {
+	if be.State == logic.Running {
+		be.endedAt.Store(0)
+		return
+	}
+	be.endedAt.CompareAndSwap(0, int64(now))
+}
+
 // conn is a connection to a backend, owned by its goroutine run; cur, since and down are the gateway's.
 type conn struct {
 	be      *backend
@@ -63,6 +73,7 @@
 	raw     syscall.RawConn
 	frames  *budget
 	work    chan job
+	check   func(a *attempt, told time.Duration) // before an attempt's first byte
 	dead    chan struct{}
 	writing sync.Mutex              // held from before a command's first byte until whole tells of it
 	whole   atomic.Pointer[attempt] // the last one that was written to its last byte: it may have run
@@ -72,8 +83,9 @@
 }
 
 type job struct {
-	a   *attempt
-	buf []byte
+	a    *attempt
+	told time.Duration // the time that the command tells the backend
+	buf  []byte
 }
 
 // The events of a connection.
@@ -184,6 +196,11 @@
 			if !j.a.taken.CompareAndSwap(false, true) {
 				continue
 			}
+			if j.a.req != nil && j.a.req.left() { // since it was handed over; what has not begun has never run
+				c.nc.Close()
+				return
+			}
+			c.check(j.a, j.told)
 			c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
 			c.writing.Lock()
 			n, err := c.nc.Write(j.buf)
@@ -297,7 +314,7 @@
 func (g *Gateway) write(c *conn, a *attempt) {
 	a.conn, c.cur, a.handed = c, a, g.now
 	select {
-	case c.work <- job{a, g.command(a)}:
+	case c.work <- g.command(a):
 	default: // it has answered what was not written yet: the order is lost, and this goroutine must not wait
 		c.nc.Close()
 	}
@@ -322,7 +339,8 @@
 			g.starved = true
 			return
 		}
-		c := &conn{be: be, addr: be.addr, frames: g.frames, work: make(chan job, 1), dead: make(chan struct{})}
+		c := &conn{be: be, addr: be.addr, frames: g.frames, work: make(chan job, 1), dead: make(chan struct{}),
+			check: g.checkBegun}
 		be.dialing++
 		be.conns++
 		g.conns++
@@ -342,13 +360,13 @@
 		be.waiting = be.waiting[1:]
 		// Much may have changed since the attempt began to wait: a drain counts from when it is told, and a request may
 		// be over.
-		if a.req != nil && a.req.left() {
-			g.abandon(a.req)
-		}
-		if be.State != logic.Running || a.req != nil && a.req.final {
+		if be.State != logic.Running { // a probe's too
 			g.end(a, logic.Moot, reply{})
 			continue
 		}
+		if !g.begins(a) {
+			continue
+		}
 		g.write(c, a)
 		return
 	}
--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -2,16 +2,10 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net"
-	"os"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
-
-	"github.com/tidwall/redcon"
 )
 
 const (
@@ -28,27 +22,39 @@
 
 // client is one connection: a goroutine that reads, one that writes. Answers go out in the order of commands.
 type client struct {
-	f       *front
-	nc      net.Conn
-	in      inbox // the reader's, as the next three are
-	paused  int32 // faults that were followed by a pause
-	left    bool  // the client has gone
-	blind   bool  // what is read may have waited for long, and it is not known whether the client is still there
-	wake    chan struct{}
-	written chan struct{} // closed when nothing is written any more
-	faults  atomic.Int32  // pieces of nonsense that came
-	mu      sync.Mutex
-	waiting []*slot // commands whose answers are not in out yet
-	out     []byte
-	ready   int         // answers in out
-	pending int         // commands whose answers are not written
-	unsent  int         // bytes of answers that are not written
-	used    time.Time   // when it was opened, the last command came or the last answer left
-	spoken  bool        // a whole command has come
-	closing bool        // it will end when nothing waits for an answer
-	ended   bool        // it has: nothing is taken any more
-	why     closeReason // for its end
-	gone    atomic.Bool // it is over: no answer is kept and no attempt begins any more; set under mu
+	f              *front
+	nc             net.Conn
+	in             inbox         // the reader's, as the next three are
+	paused         int32         // faults that were followed by a pause
+	left           bool          // the client has gone
+	limited        bool          // the rest of a command has a limit
+	first          bool          // nothing has been read yet
+	refusing       bool          // it is closing for faults: requests are turned away and anything else is dropped
+	flood          int           // bytes read since the last rest, once nothing is taken any more
+	opened, readAt time.Time     // when it was accepted, or may have come; when what is in the inbox may have come
+	behind         bool          // it may have waited to be accepted since opened
+	duplicate      atomic.Uint64 // the last id that was taken already
+	blind          bool          // what is read may have waited for long, and it is not known whether the client is still there
+	wake           chan struct{}
+	written        chan struct{} // closed when nothing is written any more
+	faults         atomic.Int32  // pieces of nonsense that came
+	mu             sync.Mutex
+	waiting        []*slot // commands whose answers are not in out yet
+	out            []byte
+	ready          int          // answers in out
+	pending        int          // commands whose answers are not written
+	unsent         int          // bytes of answers that are not written
+	used           time.Time    // when it was opened, the last command came or the last answer left
+	spoken         bool         // a whole command has come
+	closing        bool         // it will end when nothing waits for an answer
+	ended          bool         // it has: nothing is taken any more
+	why            closeReason  // for its end
+	cut            bool         // broken off by the ingress, whatever was owed
+	deaf           bool         // the reader takes no more commands: the writer may end the connection by itself
+	kicked         bool         // the writer wants the reader's word that the connection may end; its reads fail until then
+	limitAt        time.Time    // for reading; zero: none
+	goneAt         atomic.Int64 // when gone was set, on the gateway's clock; 0: not yet
+	gone           atomic.Bool  // it is over: no answer is kept and no attempt begins any more; set under mu
 }
 
 // The events of a client.
@@ -58,7 +64,9 @@
 )
 
 func newClient(f *front, nc net.Conn) *client {
-	c := &client{f: f, nc: nc, wake: make(chan struct{}, 1), written: make(chan struct{}), used: time.Now()}
+	c := &client{f: f, nc: nc, wake: make(chan struct{}, 1), written: make(chan struct{}), used: time.Now(),
+		first: true}
+	c.opened = c.used
 	if f != nil {
 		c.in.budget = f.frames
 	}
@@ -74,13 +82,11 @@
 		c.write(done)
 	}()
 	if c.read() {
-		// The framing is lost. What came before is answered, then the fault, then the connection ends.
-		c.close(closeForFaults)
 		c.discard()
 	}
 	left := c.leave()
 	c.nc.Close()
-	c.observe().connectionClosed(c, len(left))
+	c.observe().connectionClosed(c, left)
 	if len(left) > 0 { // told before the writer has ended: it may not run for a while
 		c.f.gw.post(abandoned{left})
 	}
@@ -100,6 +106,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.gone.Store(true)
+	if c.f.gw != nil {
+		c.goneAt.Store(int64(c.f.gw.clock(time.Now())))
+	}
 	for _, s := range c.waiting {
 		if s.reply == nil {
 			left = append(left, s.req)
@@ -121,31 +130,87 @@
 func (c *client) discard() {
 	c.limit(time.Time{})
 	buf := make([]byte, discardBuffer)
-	for n := 0; ; {
-		k, err := c.nc.Read(buf)
+	for {
+		n, err := c.nc.Read(buf)
 		if err != nil { // gone, or the writer's limit has passed
 			return
 		}
-		most := lingerBytes
-		if c.owes() {
-			most = floodBytes
-		}
-		if n += k; n > most {
-			n = 0
-			wait(context.Background(), discardPause)
-		}
+		c.rest(n)
+	}
+}
+
+// rest slows down the reading of what is of no use.
+func (c *client) rest(n int) {
+	most := lingerBytes
+	if c.owes() {
+		most = floodBytes
+	}
+	if c.flood += n; c.flood > most {
+		c.flood = 0
+		wait(context.Background(), discardPause)
 	}
 }
 
-// limit sets how long reading may take; once the connection has ended that is the writer's.
+// limit sets how long reading may take; once the connection has ended, or is asked to, that is the writer's.
 func (c *client) limit(t time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.ended {
+	c.limitAt = t
+	if !c.ended && !c.kicked {
 		c.nc.SetReadDeadline(t)
 	}
 }
 
+// kick makes the reader say whether the connection may end: only it knows whether it holds what it has read and not taken.
+// c.mu is held.
+func (c *client) kick() {
+	c.kicked = true
+	c.nc.SetReadDeadline(time.Unix(1, 0))
+}
+
+// mayEnd is the reader's answer, given while it holds no whole command: the connection ends, unless a command waits for its
+// answer or has begun to come. One that has begun is no reason to keep a place that others need.
+func (c *client) mayEnd() (asked, ended bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.kicked {
+		return false, false
+	}
+	c.kicked = false
+	c.nc.SetReadDeadline(c.limitAt)
+	if c.closing && len(c.waiting) == 0 && (!c.in.partial() || c.why == closeForRoom) {
+		c.end()
+		return true, true
+	}
+	return true, false
+}
+
+// endIdle ends the connection if no answer is owed on it; the reader asks for it by itself, between two reads.
+func (c *client) endIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.waiting) > 0 {
+		return false
+	}
+	c.end()
+	return true
+}
+
+// end leaves the rest to the writer; c.mu is held.
+func (c *client) end() {
+	c.ended, c.deaf, c.kicked = true, true, false
+	c.nc.SetReadDeadline(time.Time{})
+	c.signal()
+}
+
+// stopTaking leaves the end of the connection to the writer: what is read from now on is of no use.
+func (c *client) stopTaking() {
+	c.mu.Lock()
+	c.deaf, c.kicked = true, false
+	c.mu.Unlock()
+	c.close(closeForFaults)
+}
+
 // closeSoon closes as close does, but leaves a connection that is so new that its first command may be under way the time
 // to bring it.
 func (c *client) closeSoon() {
@@ -173,6 +238,7 @@
 func (c *client) breakOff(why closeReason) {
 	c.mu.Lock()
 	c.because(why)
+	c.cut = true
 	c.mu.Unlock()
 	c.nc.Close()
 }
@@ -201,183 +267,3 @@
 	default:
 	}
 }
-
-// read takes commands until the connection ends; it says whether that was for nonsense.
-func (c *client) read() (lost bool) {
-	defer c.in.close()
-	limited, first := false, true
-	for {
-		f, err := c.in.next()
-		switch {
-		case f != nil:
-			if c.crowded(mostTurned) {
-				c.fault(faultFlood, "too many commands at once")
-				return true
-			}
-			c.command(f, time.Now())
-			if n := c.faults.Load(); n >= mostFaults {
-				return true
-			} else if c.left || n > c.paused && !c.pause(n) { // of a fault that the gateway found
-				return false
-			}
-			if limited { // the next one has its own time
-				c.limit(time.Time{})
-				limited = false
-			}
-			continue
-		case err == nil:
-			// Only the rest of a command has a time limit, from its beginning on; setting one for each read would
-			// cost CPU.
-			if c.in.partial() && !limited {
-				c.limit(time.Now().Add(firstCommand))
-				limited = true
-			}
-			err = c.in.fill(c.nc.Read)
-			if err == nil && (first || c.blind) { // it may have been in the backlog for long
-				first = false
-				if !c.look() {
-					return false
-				}
-			}
-		}
-		switch {
-		case err == nil:
-		case errors.Is(err, errFraming):
-			c.fault(faultFraming, err.Error())
-			return true
-		case errors.Is(err, errTooLong):
-			c.fault(faultTooLong, err.Error())
-			return true
-		case errors.Is(err, errMemory):
-			c.fault(faultMemory, err.Error())
-			return true
-		case errors.Is(err, os.ErrDeadlineExceeded) && limited:
-			c.fault(faultUnfinished, "the command does not end")
-			return true
-		default:
-			return false
-		}
-	}
-}
-
-// fault answers nonsense, after a pause.
-func (c *client) fault(kind faultKind, text string) {
-	n := c.faults.Add(1)
-	c.observe().fault(c, kind, text, n)
-	if c.left = !c.pause(n); !c.left {
-		c.reply(redcon.AppendError(nil, "ERR "+text))
-	}
-}
-
-// pause follows the n-th fault, longer each time: a client that repeats nonsense as soon as it has been turned away takes no
-// CPU from the others. What comes meanwhile is kept as far as there is room, so that a client that leaves is noticed, which
-// it tells. Where more comes a client that is owed an answer is read on at once, or nobody would see it leave.
-func (c *client) pause(n int32) (here bool) {
-	c.paused = n
-	until := time.Now().Add(time.Duration(n) * faultPause)
-	for c.in.room() {
-		c.limit(until)
-		err := c.in.fill(c.nc.Read)
-		c.limit(time.Time{})
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			return !c.hasEnded()
-		}
-		if err != nil {
-			return false
-		}
-	}
-	if c.owes() {
-		return true
-	}
-	select {
-	case <-time.After(time.Until(until)):
-	case <-c.written:
-	}
-	c.blind = true
-	return c.look()
-}
-
-// look reads what has come, without waiting and as far as there is memory, up to the client's end: it says whether that
-// is not there. One that has been read up to what it last sent is blind no more.
-func (c *client) look() (here bool) {
-	sc, ok := c.nc.(syscall.Conn)
-	if !ok {
-		c.blind = false
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	for err == nil {
-		err = c.in.fill(func(b []byte) (int, error) { return readNow(raw, b) })
-	}
-	switch {
-	case errors.Is(err, syscall.EAGAIN):
-		c.blind = false
-		return true
-	case errors.Is(err, errTooLong), errors.Is(err, errMemory), errors.Is(err, os.ErrDeadlineExceeded):
-		return true // the next read will tell
-	}
-	return false
-}
-
-// readNow reads once and never waits: where nothing has come the error is EAGAIN.
-func readNow(raw syscall.RawConn, b []byte) (n int, err error) {
-	over := raw.Read(func(fd uintptr) bool {
-		for n, err = syscall.Read(int(fd), b); errors.Is(err, syscall.EINTR); {
-			n, err = syscall.Read(int(fd), b)
-		}
-		return true
-	})
-	switch {
-	case over != nil:
-		return 0, over
-	case err != nil:
-		return 0, err
-	case n == 0:
-		return 0, io.EOF
-	}
-	return n, nil
-}
-
-// crowded says whether so many commands wait for their answers to be written.
-func (c *client) crowded(most int) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.pending >= most
-}
-
-func (c *client) hasEnded() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.ended
-}
-
-// command takes one whole command.
-func (c *client) command(f []byte, at time.Time) {
-	whole, args, _, _, err := redcon.ReadNextCommand(f, nil)
-	if err != nil || !whole || len(args) == 0 {
-		c.fault(faultCommand, "a command is an array of bulk strings")
-		return
-	}
-	switch string(args[0]) {
-	case "PING":
-		c.reply(redcon.AppendString(nil, "PONG"))
-	case "Q.ASK", "Q.DO":
-		r, err := c.f.gw.parse(args, at)
-		if err != nil {
-			c.fault(faultRequest, err.Error())
-			return
-		}
-		if c.blind || c.crowded(mostPipelined) { // reading never stops, or nobody would see this client leave
-			c.observe().turnedAway(r, "the connection has too many open commands")
-			c.reply(c.f.gw.turnedAway)
-			return
-		}
-		if s := c.open(r); s != nil {
-			r.slot = s
-			c.observe().requests.Add(requestsRead)
-			c.f.gw.post(arrived{r})
-		}
-	default:
-		c.fault(faultCommand, "unknown command")
-	}
-}
--- a/internal/ingress/front.go
+++ b/internal/ingress/front.go
@@ -4,18 +4,23 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math"
 	"net"
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
 const (
-	idleTime  = 2100 * time.Millisecond // a connection without an open request is closed then
-	tidyEvery = 250 * time.Millisecond
-	slotPause = 5 * time.Millisecond // before a further connection is closed for want of a place
-	newcomer  = 50 * time.Millisecond
+	idleTime    = 2100 * time.Millisecond // a connection without an open request is closed then
+	tidyEvery   = 250 * time.Millisecond
+	slotPause   = 5 * time.Millisecond // before a further connection is closed for want of a place
+	newcomer    = 50 * time.Millisecond
+	acceptPause = 5 * time.Millisecond // after an error that the next try may meet too
+	acceptStall = time.Millisecond     // accepting in turn takes less
+	unreadShare = 4                    // of the shortest deadline, a client may be left unread for one part
 )
 
 // front is the server side: it accepts clients on one address.
@@ -32,32 +37,44 @@
 	accepted   chan struct{} // closed when no more are
 	wg         sync.WaitGroup
 	observe    *observer
+	holdUps    *holdUps      // nil: not noticed
+	unreadMost time.Duration // a client of which nothing is owed may be left unread for so long
+	behind     time.Time     // since when connections may wait to be accepted; zero: they don't
 }
 
 func newFront(ln net.Listener, gw *Gateway, most, memory int) *front {
-	observe := newObserver(slog.New(slog.DiscardHandler))
+	f := &front{ln: ln, gw: gw, observe: newObserver(slog.New(slog.DiscardHandler)), unreadMost: time.Duration(math.MaxInt64), slots: make(chan struct{}, most), frames: newBudget(memory),
+		mostUnsent: int64(memory), clients: map[*client]bool{}, accepted: make(chan struct{})}
 	if gw != nil {
-		observe = gw.observe
+		f.observe, f.holdUps = gw.observe, gw.holdUps
+		for _, class := range gw.classes {
+			f.unreadMost = min(f.unreadMost, class.Deadline/unreadShare)
+		}
 	}
-	return &front{ln: ln, gw: gw, observe: observe, slots: make(chan struct{}, most), frames: newBudget(memory),
-		mostUnsent: int64(memory), clients: map[*client]bool{}, accepted: make(chan struct{})}
+	return f
 }
 
 // accept takes connections until the listener closes, or none has come for as long as a drain waits for them.
 func (f *front) accept() {
 	defer close(f.accepted)
 	for {
+		asked := time.Now()
 		f.takeSlot()
+		if f.behind.IsZero() && time.Since(asked) > acceptStall {
+			f.behind = asked
+		}
+		asked = time.Now()
 		nc, err := f.ln.Accept()
 		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 			return
 		}
-		if err != nil { // out of descriptors, say: a pause, then on
+		if err != nil {
 			<-f.slots
-			time.Sleep(5 * time.Millisecond)
+			f.acceptFailed(err, asked)
 			continue
 		}
 		c := newClient(f, nc)
+		f.noteWait(c, asked)
 		f.mu.Lock()
 		f.clients[c] = true
 		f.wg.Add(1)
@@ -70,6 +87,32 @@
 	}
 }
 
+// acceptFailed pauses where the next try may fail likewise: the process or the machine is out of descriptors or memory. A
+// connection that was given up before it was accepted tells nothing of the next one.
+func (f *front) acceptFailed(err error, asked time.Time) {
+	if errors.Is(err, syscall.ECONNABORTED) || errors.Is(err, syscall.EINTR) {
+		return
+	}
+	if f.behind.IsZero() {
+		f.behind = asked
+	}
+	if ok, suppressed := f.observe.anomalies.Allow(asked); ok {
+		f.observe.log.Warn("no connection can be accepted", "err", err, "suppressed before", suppressed)
+	}
+	time.Sleep(acceptPause)
+}
+
+// noteWait tells a connection since when it may have waited to be accepted. Once one had to be waited for, the backlog was
+// empty.
+func (f *front) noteWait(c *client, asked time.Time) {
+	if time.Since(asked) > acceptStall {
+		f.behind = time.Time{}
+	}
+	if !f.behind.IsZero() {
+		c.opened, c.behind = f.behind, true
+	}
+}
+
 // takeSlot waits for the place of a further connection. Clients keep idle ones for good and hundreds may say nothing at
 // all, so where all places are taken one of these is closed.
 func (f *front) takeSlot() {
--- a/internal/ingress/gateway.go
+++ b/internal/ingress/gateway.go
@@ -66,6 +66,7 @@
 	net     wire.Connections
 	log     *slog.Logger
 	observe *observer
+	holdUps *holdUps
 	classes map[string]logic.Class
 	plans   map[string]bool
 	counter *counter
@@ -136,7 +137,7 @@
 		return nil, err
 	}
 	start := time.Now()
-	g := &Gateway{cfg: cfg, net: cfg.Connections, log: log, observe: newObserver(log), classes: map[string]logic.Class{}, plans: map[string]bool{},
+	g := &Gateway{cfg: cfg, net: cfg.Connections, log: log, observe: newObserver(log), holdUps: newHoldUps(start), classes: map[string]logic.Class{}, plans: map[string]bool{},
 		events: make(chan event, eventQueue), stopped: make(chan struct{}), ready: make(chan struct{}), start: start,
 		epoch: time.Duration(start.UnixNano()), mod: mod, requests: map[logic.RequestID]*request{},
 		keys: map[uint64]bool{}, backends: map[logic.ServerID]*backend{}, mostConns: cfg.Sockets * 3 / 8,
@@ -285,23 +286,34 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
-		timer.Reset(g.alarms[0].at - g.clock(time.Now()))
+		timer.Reset(min(g.alarms[0].at-g.clock(time.Now()), beatEvery))
 		select {
 		case <-ctx.Done():
 			return
 		case ev := <-g.events:
-			g.now = g.clock(time.Now())
+			g.tick()
 			g.handle(ev)
 			for n := 1; n < mostBatch && len(g.events) > 0; n++ {
-				g.handle(<-g.events)
+				ev := <-g.events
+				g.tick()
+				g.handle(ev)
 			}
 		case <-timer.C:
 		}
-		g.now = g.clock(time.Now())
+		g.tick()
 		g.ring()
 	}
 }
 
+// tick takes the time from the clock, and notices where the process was held up.
+func (g *Gateway) tick() {
+	now := time.Now()
+	g.now = g.clock(now)
+	if gap := g.holdUps.pulse(now); gap > 0 {
+		g.observe.wasHeldUp(gap)
+	}
+}
+
 // ring does what is due.
 func (g *Gateway) ring() {
 	for len(g.alarms) > 0 && g.alarms[0].at <= g.now {
@@ -418,6 +430,7 @@
 	if g.keys[r.key] { // the one who asked first has its answer, and nobody else
 		r.final = true
 		g.observe.requests.Add(requestsDuplicate)
+		r.slot.c.duplicate.Store(r.key)
 		g.observe.fault(r.slot.c, faultDuplicate, "the id "+r.id()+" is taken", r.slot.c.faults.Add(1))
 		r.slot.answer([]byte("-ERR a request of this id is being served\r\n"))
 		return
@@ -429,6 +442,9 @@
 	if g.endBy > 0 {
 		r.GiveUpAt = min(r.GiveUpAt, g.endBy)
 	}
+	if r.GiveUpAt <= g.now {
+		g.observe.requests.Add(requestsExpired)
+	}
 	g.tell(logic.Arrival{Request: r.Request})
 	g.at(r.GiveUpAt+overdue, func() {
 		delete(g.keys, r.key)
@@ -454,6 +470,9 @@
 
 // noteLate tells of a request whose final answer comes after its client's time.
 func (g *Gateway) noteLate(r *request) {
+	if g.now > r.until+lateMost {
+		g.observe.violated(ruleInTime, r, g.now, "answered late")
+	}
 	if g.now > r.until {
 		g.observe.requests.Add(requestsLate)
 		g.observe.anomaly(r, "answered after the client's time", g.now)
@@ -538,11 +557,7 @@
 	}
 	r.attempts = append(r.attempts, a)
 	r.out++
-	if r.left() {
-		g.abandon(r)
-	}
-	if r.final || a.stop <= g.now || a.n >= g.mostTries || be.State != logic.Running {
-		g.end(a, logic.Moot, reply{})
+	if !g.begins(a) {
 		return
 	}
 	g.observe.attemptBegins(a)
@@ -551,21 +566,22 @@
 }
 
 // command is what an attempt writes: the client's own, with the time that is left for it.
-func (g *Gateway) command(a *attempt) []byte {
+func (g *Gateway) command(a *attempt) job {
 	if a.req == nil {
-		return redcon.AppendBulkString(redcon.AppendBulkString(redcon.AppendArray(nil, 2), "INFO"), "load")
+		return job{a: a, buf: redcon.AppendBulkString(redcon.AppendBulkString(redcon.AppendArray(nil, 2), "INFO"), "load")}
 	}
+	told := max(1, (a.stop - g.now).Milliseconds())
 	r := a.req
 	b := redcon.AppendArray(make([]byte, 0, 192+len(r.args[len(r.args)-1])), len(r.args))
 	for i, arg := range r.args {
 		if i == 3 {
 			fields := append(make([]byte, 0, len(arg)+8), arg[:r.dFrom]...)
-			fields = strconv.AppendInt(fields, max(1, (a.stop-g.now).Milliseconds()), 10)
+			fields = strconv.AppendInt(fields, told, 10)
 			arg = append(fields, arg[r.dTo:]...)
 		}
 		b = redcon.AppendBulk(b, arg)
 	}
-	return b
+	return job{a: a, told: time.Duration(told) * time.Millisecond, buf: b}
 }
 
 // end tells the module how an attempt ended, once; the first that is served answers the client.
@@ -617,6 +633,7 @@
 	if f.All {
 		for _, be := range g.backends {
 			be.State = logic.Gone
+			be.noteState(g.now)
 		}
 	}
 	for _, t := range f.Targets {
@@ -627,6 +644,7 @@
 			g.backends[s.ID] = be
 		}
 		be.Server = s
+		be.noteState(g.now)
 		if s.State != logic.Gone {
 			be.addr = t.Endpoint
 		}
--- a/internal/ingress/observe.go
+++ b/internal/ingress/observe.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"larchwick/internal/telemetry"
@@ -75,13 +76,15 @@
 // observer is the log and the counters of one ingress. The counters are written to the log every countersEvery and at the end;
 // single steps of requests and connections are records of level debug.
 type observer struct {
-	log       *slog.Logger
-	tracing   bool // records of level debug are written
-	requests  *telemetry.Counters[requestCount]
-	faults    *telemetry.Counters[faultKind]
-	closes    *telemetry.Counters[closeReason]
-	outcomes  *telemetry.Counters[logic.Outcome]
-	anomalies *telemetry.Limiter
+	log        *slog.Logger
+	tracing    bool // records of level debug are written
+	requests   *telemetry.Counters[requestCount]
+	faults     *telemetry.Counters[faultKind]
+	closes     *telemetry.Counters[closeReason]
+	outcomes   *telemetry.Counters[logic.Outcome]
+	heldUp     atomic.Int64 // hold-ups of the process
+	violations *telemetry.Counters[rule]
+	anomalies  *telemetry.Limiter
 }
 
 func newObserver(log *slog.Logger) *observer {
@@ -91,8 +94,9 @@
 	}
 	return &observer{log: log, tracing: log.Enabled(context.Background(), slog.LevelDebug),
 		requests: newRequestCounters(), faults: newFaultCounters(), closes: newCloseCounters(),
-		outcomes:  telemetry.NewCounters[logic.Outcome](outcomes...),
-		anomalies: telemetry.NewLimiter(anomaliesPerSpan, anomalySpan)}
+		violations: newViolations(),
+		outcomes:   telemetry.NewCounters[logic.Outcome](outcomes...),
+		anomalies:  telemetry.NewLimiter(anomaliesPerSpan, anomalySpan)}
 }
 
 // run writes the counters from time to time until ctx ends.
@@ -113,19 +117,27 @@
 }
 
 func (o *observer) writeCounters(text string) {
-	o.log.Info(text, "requests", o.requests, "attempts", o.outcomes, "faults", o.faults, "closes", o.closes)
+	o.log.Info(text, "requests", o.requests, "attempts", o.outcomes, "faults", o.faults, "closes", o.closes,
+		"held up", o.heldUp.Load(), "violations", o.violations)
 }
 
-// connectionClosed counts and traces the end of a client's connection.
-func (o *observer) connectionClosed(c *client, unanswered int) {
+// connectionClosed counts and traces the end of a client's connection. Requests without an answer were abandoned by their
+// client, unless the ingress broke the connection off; for one that does not read its answers nothing more can be done.
+func (o *observer) connectionClosed(c *client, unanswered []*request) {
 	c.mu.Lock()
-	why := c.why
+	why, cut := c.why, c.cut
 	c.mu.Unlock()
 	o.closes.Add(why)
 	if o.tracing {
-		o.log.Debug("client connection ends", "client", c.remote(), "reason", o.closes.Name(why), "unanswered", unanswered,
+		o.log.Debug("client connection ends", "client", c.remote(), "reason", o.closes.Name(why), "unanswered", len(unanswered),
 			"faults", c.faults.Load())
 	}
+	if !cut || why == closeStalled {
+		return
+	}
+	for _, r := range unanswered {
+		o.violated(ruleFinalAnswer, r, c.f.gw.clock(time.Now()), "the connection was broken off: "+o.closes.Name(why))
+	}
 }
 
 // fault counts and traces input that no client should send.
@@ -136,6 +148,14 @@
 	}
 }
 
+// wasHeldUp counts and writes that the process did not run for a while.
+func (o *observer) wasHeldUp(gap time.Duration) {
+	o.heldUp.Add(1)
+	if ok, _ := o.anomalies.Allow(time.Now()); ok {
+		o.log.Warn("the process was held up", "for", gap)
+	}
+}
+
 // turnedAway counts and traces a request that the network code refuses.
 func (o *observer) turnedAway(r *request, why string) {
 	o.requests.Add(requestsTurnedAway)
@@ -173,8 +193,7 @@
 	if !ok {
 		return
 	}
-	attrs := []any{"id", r.id(), "client", r.remote(), "class", r.Class, "customer", r.Customer, "read", now - r.readAt,
-		"until", r.until - r.readAt, "attempts", r.attempts}
+	attrs := []any{"request", r.describe(now), "attempts", r.attempts}
 	if suppressed > 0 {
 		attrs = append(attrs, "suppressed before", suppressed)
 	}
--- a/internal/ingress/parse.go
+++ b/internal/ingress/parse.go
@@ -95,8 +95,8 @@
 		return nil, errors.New("the class does not go with the command")
 	case class.Effect == logic.Keyed && (key == "" || len(key) > mostKey):
 		return nil, errors.New("field k is missing or too long")
-	case d == 0 || !seen["first"]:
-		return nil, errors.New("field d or first is missing or nought")
+	case !seen["d"] || !seen["first"]:
+		return nil, errors.New("field d or first is missing")
 	case spread == 0 || spread > uint64(g.cfg.Settings.Gateways) || first >= uint64(g.cfg.Settings.Gateways):
 		return nil, errors.New("there is no such set of gateways")
 	case !(r.Units > 0) || r.Units > g.mostUnits:
--- a/logic/leave_test.go
+++ b/logic/leave_test.go
@@ -109,3 +109,28 @@
 		})
 	}
 }
+
+// A request that comes with no time left is refused at once and takes nothing of its customer's quota.
+func TestArrivesWithoutTime(t *testing.T) {
+	g, err := New(settings(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Second
+	for id := RequestID(1); id <= 50; id++ {
+		out := g.Handle(now, Arrival{Request: Request{ID: id, Class: "read", Plan: "small", Customer: "c", Units: 1, Spread: 1,
+			GiveUpAt: now}}, nil)
+		refused := 0
+		for _, a := range out {
+			switch a := a.(type) {
+			case Refuse:
+				refused++
+			case Send, Count:
+				t.Fatalf("request %d: %+v", id, a)
+			}
+		}
+		if refused != 1 {
+			t.Fatalf("request %d: %d refusals in %+v", id, refused, out)
+		}
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -189,6 +189,10 @@
 	if r.Units <= 0 {
 		r.Units = 1
 	}
+	if r.GiveUpAt <= g.now { // its time was over as it came: no quota is asked for it
+		g.do(Refuse{ID: r.ID, RetryAfter: min(r.class.Aim, g.set.MaxRetryAfter)})
+		return
+	}
 	r.cust = g.customer(r)
 	g.requests[q.ID] = r
 	g.live = append(g.live, r)
