--- /dev/null
+++ b/internal/faults/proxy_test.go
@@ -0,0 +1,105 @@
+package faults
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+// echo is a service that gives back what it gets.
+func echo(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer nc.Close()
+				io.Copy(nc, nc)
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func proxied(t *testing.T) (*Proxy, net.Conn) {
+	t.Helper()
+	p, err := NewProxy(echo(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	nc, err := net.Dial("tcp", p.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nc.Close() })
+	return p, nc
+}
+
+func wantEcho(t *testing.T, nc net.Conn) {
+	t.Helper()
+	io.WriteString(nc, "hello\n")
+	if line, err := bufio.NewReader(nc).ReadString('\n'); line != "hello\n" {
+		t.Fatalf("%q, %v", line, err)
+	}
+}
+
+func wantBroken(t *testing.T, nc net.Conn) {
+	t.Helper()
+	if n, err := nc.Read(make([]byte, 1)); err == nil {
+		t.Fatalf("%d bytes where the connection should be broken", n)
+	}
+}
+
+func TestProxyForwardsAndPaces(t *testing.T) {
+	p, nc := proxied(t)
+	wantEcho(t, nc)
+	p.SetPace(time.Millisecond, 1)
+	wantEcho(t, nc)
+	nc.(*net.TCPConn).CloseWrite()
+	if rest, err := io.ReadAll(nc); len(rest) > 0 || err != nil {
+		t.Fatalf("%q, %v after the end", rest, err)
+	}
+}
+
+// What was silent is of no use when the network is back; new connections are.
+func TestProxySilence(t *testing.T) {
+	p, nc := proxied(t)
+	wantEcho(t, nc)
+	p.SetMode(Silent)
+	io.WriteString(nc, "lost\n")
+	p.SetMode(Pass)
+	wantBroken(t, nc)
+	again, err := net.Dial("tcp", p.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer again.Close()
+	wantEcho(t, again)
+}
+
+func TestProxyCutsAndRefuses(t *testing.T) {
+	p, nc := proxied(t)
+	wantEcho(t, nc)
+	if n := p.Cut(); n != 1 {
+		t.Fatalf("%d connections cut", n)
+	}
+	wantBroken(t, nc)
+	p.SetMode(Refuse)
+	refused, err := net.Dial("tcp", p.Addr())
+	if err != nil {
+		return
+	}
+	defer refused.Close()
+	wantBroken(t, refused)
+}
