--- a/internal/ingress/answers.go
+++ b/internal/ingress/answers.go
@@ -92,8 +92,7 @@
 		}
 		c.mu.Unlock()
 		if len(buf) > 0 {
-			c.nc.SetWriteDeadline(time.Now().Add(writeStall))
-			_, err := c.nc.Write(buf)
+			_, err := writeWhole(c.nc, buf, time.Now().Add(writeStall))
 			c.mu.Lock()
 			c.unsent -= len(buf)
 			c.pending -= ready
--- a/internal/ingress/backend.go
+++ b/internal/ingress/backend.go
@@ -167,7 +167,9 @@
 			c.nc.SetReadDeadline(time.Time{})
 			limited = false
 		}
-		if in.fill(c.nc.Read) != nil {
+		if err := in.fill(c.nc.Read); isTransient(err) {
+			time.Sleep(transientPause)
+		} else if err != nil {
 			return
 		}
 	}
--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -132,6 +132,10 @@
 	buf := make([]byte, discardBuffer)
 	for {
 		n, err := c.nc.Read(buf)
+		if isTransient(err) {
+			time.Sleep(transientPause)
+			continue
+		}
 		if err != nil { // gone, or the writer's limit has passed
 			return
 		}
--- a/internal/ingress/reader.go
+++ b/internal/ingress/reader.go
@@ -84,6 +84,10 @@
 			return errUnfinished
 		}
 	}
+	if isTransient(err) {
+		time.Sleep(transientPause)
+		return nil
+	}
 	if err != nil {
 		return err
 	}
@@ -175,6 +179,10 @@
 		if errors.Is(err, os.ErrDeadlineExceeded) { // or the writer asks: the next read answers
 			return !c.hasEnded()
 		}
+		if isTransient(err) {
+			time.Sleep(transientPause)
+			continue
+		}
 		if err != nil {
 			return false
 		}
@@ -229,7 +237,7 @@
 	case errors.Is(err, syscall.EAGAIN):
 		c.blind = false
 		return true
-	case errors.Is(err, errTooLong), errors.Is(err, errMemory), errors.Is(err, os.ErrDeadlineExceeded):
+	case isTransient(err), errors.Is(err, errTooLong), errors.Is(err, errMemory), errors.Is(err, os.ErrDeadlineExceeded):
 		return true // the next read will tell
 	}
 	return false
