--- a/internal/ingress/gateway.go
+++ b/internal/ingress/gateway.go
@@ -473,7 +473,7 @@
 	if g.now > r.until+lateMost {
 		g.observe.violated(ruleInTime, r, g.now, "answered late")
 	}
-	if g.now > r.until {
+	if g.now > r.until && r.until > r.readAt { // else it was late as it came
 		g.observe.requests.Add(requestsLate)
 		g.observe.anomaly(r, "answered after the client's time", g.now)
 	}
--- /dev/null
+++ b/internal/ingress/guard_test.go
@@ -0,0 +1,180 @@
+package ingress
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"larchwick/logic"
+)
+
+// The guard before attempts: what it denies, and whether that is a fault of the module.
+func TestGuard(t *testing.T) {
+	const window = 4 * time.Second
+	cfg := testConfig("", fleetOf("127.0.0.1:1", "127.0.0.1:2"))
+	cfg.Settings.MaxAttempts, cfg.Settings.SecondCopies = 3, true
+	cfg.Settings.Classes[2].RepeatWindow = window
+	cfg.Settings.Classes[2].Group = logic.GroupAll
+	groups := append([]logic.Class{}, cfg.Settings.Classes...)
+	groups[2].Name, groups[2].Group = "cell", logic.GroupCell
+	cfg.Settings.Classes = append(cfg.Settings.Classes, groups[2])
+	g, err := New(cfg, quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	run(t, g)
+	g.backends["s1"].Cell = 1
+	type past struct {
+		ended   bool
+		outcome logic.Outcome
+	}
+	ended := func(o logic.Outcome) past { return past{true, o} }
+	out := past{}
+	for name, c := range map[string]struct {
+		class  string
+		change func(r *request, a *attempt)
+		before []past
+		ago    time.Duration // when they began
+		want   error
+		fault  bool
+	}{
+		"first":                       {"write", nil, nil, 0, nil, false},
+		"over":                        {"read", func(r *request, _ *attempt) { r.final = true }, nil, 0, errOver, false},
+		"left":                        {"read", func(r *request, _ *attempt) { r.slot.c.gone.Store(true) }, nil, 0, errLeft, false},
+		"no time":                     {"read", func(_ *request, a *attempt) { a.stop = g.now }, nil, 0, errNoTime, false},
+		"drains":                      {"read", func(_ *request, a *attempt) { a.be = &backend{Server: logic.Server{State: logic.Draining}} }, nil, 0, errNotRunning, false},
+		"too many":                    {"read", func(_ *request, a *attempt) { a.n = 3 }, nil, 0, errTooMany, true},
+		"a copy":                      {"read", nil, []past{out}, 0, nil, false},
+		"unsafe, out":                 {"write", nil, []past{out}, 0, errRepeat, true},
+		"unsafe, reset":               {"write", nil, []past{ended(logic.Reset)}, 0, errRepeat, true},
+		"unsafe, never ran":           {"write", nil, []past{ended(logic.Full), ended(logic.NoConnect)}, 0, nil, false},
+		"keyed":                       {"keyed", nil, []past{ended(logic.Reset)}, time.Second, nil, false},
+		"keyed, window over":          {"keyed", nil, []past{ended(logic.Reset)}, window, errWindow, false},
+		"keyed, window nearly over":   {"keyed", nil, []past{ended(logic.Reset)}, window - heldUpMost, errWindow, false},
+		"keyed, another cell":         {"cell", nil, []past{ended(logic.Reset)}, 0, errRepeat, true},
+		"keyed, never ran, elsewhere": {"cell", nil, []past{ended(logic.Moot)}, 0, nil, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := &request{slot: &slot{c: newClient(newFront(nil, g, 1, 1<<20), nil)}}
+			r.Class = c.class
+			for i, b := range c.before {
+				r.attempts = append(r.attempts, &attempt{req: r, n: i, be: g.backends["s0"], began: g.now - c.ago, ended: b.ended,
+					outcome: b.outcome})
+			}
+			a := &attempt{req: r, n: len(r.attempts), be: g.backends["s1"], began: g.now, stop: g.now + time.Minute}
+			r.attempts = append(r.attempts, a)
+			if c.change != nil {
+				c.change(r, a)
+			}
+			got := g.mayBegin(a)
+			if _, fault := isFault(got); !errors.Is(got, c.want) || fault != c.fault {
+				t.Fatalf("%v, a fault: %v; want %v, %v", got, fault, c.want, c.fault)
+			}
+		})
+	}
+}
+
+// Copies are out one at a time where the settings say so.
+func TestGuardOfCopies(t *testing.T) {
+	g := idleGateway(t, "127.0.0.1:1")
+	r := &request{}
+	r.Class = "read"
+	first, second := &attempt{req: r, be: g.backends["s0"]}, &attempt{req: r, n: 0, be: g.backends["s0"], stop: g.now + time.Minute}
+	r.attempts = []*attempt{first, second}
+	if err := g.mayBegin(second); !errors.Is(err, errParallel) {
+		t.Fatal(err)
+	}
+}
+
+// What the guard denies as a fault of the module is counted, and the attempt ends unsent.
+func TestViolationsAreCounted(t *testing.T) {
+	g := idleGateway(t, "127.0.0.1:1")
+	r := &request{out: 2}
+	r.Class = "write"
+	first := &attempt{req: r, be: g.backends["s0"], ended: true, outcome: logic.Reset}
+	second := &attempt{req: r, be: g.backends["s0"], stop: g.now + time.Minute}
+	r.attempts = []*attempt{first, second}
+	if g.begins(second) || !second.ended || second.outcome != logic.Moot {
+		t.Fatal("a request that may have run is sent again")
+	}
+	if n := g.observe.violations.Value(ruleRepeat); n != 1 {
+		t.Fatalf("%d violations counted", n)
+	}
+}
+
+// What is read after a hold-up may have come at any time since the process last ran.
+func TestHoldUps(t *testing.T) {
+	start := time.Now()
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	h := newHoldUps(start)
+	for _, c := range []struct {
+		beat     int // ms; 0: none
+		heldUp   int
+		read, by int
+	}{
+		{0, 0, 5, 5}, {10, 0, 12, 12}, {30, 0, 45, 45}, // in good order
+		{0, 0, 130, 30},                                          // read before the gateway's goroutine ran again
+		{140, 110, 141, 30},                                      // and just after
+		{150, 0, 155, 30}, {160, 0, 169, 30}, {165, 0, 171, 171}, // until what had come is read
+	} {
+		if c.beat > 0 {
+			if got := h.pulse(at(c.beat)); got != time.Duration(c.heldUp)*time.Millisecond {
+				t.Fatalf("beat at %d ms: held up for %v", c.beat, got)
+			}
+		}
+		if got := h.cameBy(at(c.read)); !got.Equal(at(c.by)) {
+			t.Fatalf("read at %d ms: came by %v, want %d ms", c.read, got.Sub(start), c.by)
+		}
+	}
+}
+
+// crossed is a connection on which something happens between the read of the system and the reader's next step.
+type crossed struct {
+	*net.TCPConn
+	meanwhile func()
+}
+
+func (c *crossed) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if n > 0 && c.meanwhile != nil {
+		c.meanwhile()
+	}
+	return n, err
+}
+
+// A request that was read as its connection was told to end is answered before the end.
+func TestRequestReadAsItsConnectionCloses(t *testing.T) {
+	for _, why := range []closeReason{closeIdle, closeForRoom, closeShutdown} {
+		near, far := accepted(t)
+		g := idleGateway(t, newBackend(t, nil).addr)
+		f := newFront(nil, g, 1, 1<<20)
+		nc := &crossed{TCPConn: near}
+		c := newClient(f, nc)
+		nc.meanwhile = func() {
+			nc.meanwhile = nil
+			c.close(why)
+			for asked := false; !asked; time.Sleep(time.Millisecond) { // until the writer wants the end
+				c.mu.Lock()
+				asked = c.kicked || c.ended
+				c.mu.Unlock()
+			}
+		}
+		done := serveClient(f, c)
+		io.WriteString(far, ask(1, readFields))
+		select {
+		case ev := <-g.events:
+			ev.(arrived).r.slot.answer([]byte("$5\r\nvalue\r\n"))
+		case <-done:
+			t.Fatal("the connection ended with a request that had been read")
+		}
+		in := bufio.NewReader(far)
+		wantValue(t, in)
+		if rest, err := io.ReadAll(in); len(rest) > 0 || err != nil {
+			t.Fatalf("%q, %v after the answer", rest, err)
+		}
+		await(t, "the connection's end", done)
+	}
+}
