Fault soak: newcomers, bad clients, crowds and frozen processes

Requests come on connections of their own too, some in pieces; bad clients are owed an error or a close in 3 s; idle crowds fill the places; processes are stopped for up to 2.5 s, where times are not judged.

--- a/internal/ingress/gateway.go
+++ b/internal/ingress/gateway.go
@@ -470,7 +470,8 @@
 
 // noteLate tells of a request whose final answer comes after its client's time.
 func (g *Gateway) noteLate(r *request) {
-	if g.now > r.until+lateMost {
+	due := max(r.until, g.epoch+g.holdUps.last()) // nothing is answered while the process does not run
+	if g.now > due+lateMost {
 		g.observe.violated(ruleInTime, r, g.now, "answered late")
 	}
 	if g.now > r.until && r.until > r.readAt { // else it was late as it came
--- a/internal/ingress/holdup.go
+++ b/internal/ingress/holdup.go
@@ -40,6 +40,9 @@
 	return gap
 }
 
+// last is the end of the last hold-up, in time since start; negative if there was none.
+func (h *holdUps) last() time.Duration { return time.Duration(h.until.Load()) }
+
 // cameBy is the earliest time at which what is read now may have come, so far as hold-ups tell; it is now if there was none.
 func (h *holdUps) cameBy(now time.Time) time.Time {
 	if h == nil {
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -25,6 +25,7 @@
 	repeatWindow    = time.Second
 	answerWait      = 10 * time.Second // for the last answers, once nothing more is sent
 	plans           = 3
+	pieceSize       = 30 // bytes of a command that is written slowly
 	customerCount   = 40
 )
 
@@ -70,10 +71,12 @@
 
 // session is one connection of a caller.
 type session struct {
-	nc     net.Conn
-	ledger *ledger
-	to     *ingressProcess
-	begun  int // life of the ingress
+	nc      net.Conn
+	ledger  *ledger
+	to      *ingressProcess
+	begun   int // life of the ingress
+	dialled time.Time
+	pace    time.Duration // between the pieces of what is written; 0: whole
 
 	mu    sync.Mutex
 	open  []*record // in the order of the commands; nil: nonsense
@@ -88,7 +91,7 @@
 			pause(ctx, 20*time.Millisecond)
 			continue
 		}
-		s := &session{nc: nc, ledger: c.ledger, to: c.to, begun: c.to.life(), retry: make(chan *record, 64)}
+		s := &session{nc: nc, ledger: c.ledger, to: c.to, begun: c.to.life(), dialled: time.Now(), retry: make(chan *record, 64)}
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
@@ -172,10 +175,17 @@
 		return net.ErrClosed
 	}
 	s.open = append(s.open, rec)
+	s.mu.Unlock()
+	for s.pace > 0 && len(b) > pieceSize {
+		if _, err := s.nc.Write(b[:pieceSize]); err != nil {
+			break // what was sent in part needs no answer; the last piece tells the same
+		}
+		b = b[pieceSize:]
+		time.Sleep(s.pace)
+	}
 	if rec != nil {
 		s.ledger.sent(rec)
 	}
-	s.mu.Unlock()
 	_, err := s.nc.Write(b)
 	return err
 }
@@ -270,6 +280,8 @@
 		return
 	}
 	switch reason := s.to.mayBreak(s.begun); {
+	case s.to.wasLeaving(s.dialled):
+		s.ledger.excuse(open, "it came as the ingress was closing its address")
 	case reason != "":
 		s.ledger.excuse(open, reason)
 	case errors.Is(err, io.EOF):
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -76,13 +76,60 @@
 
 	mu         sync.Mutex
 	requests   map[uint64]*record
+	frozen     map[int][]span // by ingress
 	answers    map[string]int
 	attempts   int
 	violations []Violation
 }
 
 func newLedger(s *stalls, timed bool) *ledger {
-	return &ledger{began: time.Now(), stalls: s, timed: timed, requests: map[uint64]*record{}, answers: map[string]int{}}
+	return &ledger{began: time.Now(), stalls: s, timed: timed, requests: map[uint64]*record{}, frozen: map[int][]span{}, answers: map[string]int{}}
+}
+
+// span is a time from and to.
+type span struct{ from, to time.Time }
+
+// froze notes that an ingress was stopped for longer than it may be held up.
+func (l *ledger) froze(ingress int, from, to time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.frozen[ingress] = append(l.frozen[ingress], span{from, to})
+}
+
+// slackOf is how much what was measured of an ingress may be off: this process stalled, or the ingress was stopped.
+func (l *ledger) slackOf(ingress int, from, to time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.slack(ingress, from, to)
+}
+
+// slack is slackOf; l.mu is held.
+func (l *ledger) slack(ingress int, from, to time.Time) time.Duration {
+	sum := l.stalls.between(from, to)
+	for _, s := range l.frozen[ingress] {
+		if s.from.Before(to) && s.to.After(from) {
+			sum += s.to.Sub(s.from)
+		}
+	}
+	return sum
+}
+
+// awaitAnswers waits until each request has its answer, or needs none.
+func (l *ledger) awaitAnswers(most time.Duration) {
+	for limit := time.Now().Add(most); l.open() && time.Now().Before(limit); {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (l *ledger) open() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, rec := range l.requests {
+		if rec.answered.IsZero() && rec.left.IsZero() && rec.ended.IsZero() && rec.excused == "" {
+			return true
+		}
+	}
+	return false
 }
 
 // add notes a broken rule; l.mu is held.
@@ -162,7 +209,7 @@
 	if !l.timed || !seen.quiet {
 		return
 	}
-	slack := heldUpMost + measureSlack + l.stalls.between(seen.at.Add(-quietBefore), seen.at)
+	slack := heldUpMost + measureSlack + l.slack(rec.ingress, seen.at.Add(-quietBefore), time.Now())
 	if !rec.left.IsZero() && seen.at.Sub(rec.left) > leftSlack+slack {
 		l.add(SentAfterLeft, rec.ingress, id, seen.at, "%v after", seen.at.Sub(rec.left))
 	}
@@ -192,7 +239,7 @@
 			due = rec.turn
 		}
 		late := rec.answered.Sub(due)
-		if l.timed && late > lateSlack+measureSlack+l.stalls.between(rec.sent, rec.answered) {
+		if l.timed && late > lateSlack+measureSlack+l.slack(rec.ingress, rec.sent, rec.answered) {
 			l.add(Late, rec.ingress, rec.id, rec.answered, "%v after its time of %v", late, rec.wait)
 		}
 	case !rec.left.IsZero(), rec.excused != "":
@@ -200,7 +247,7 @@
 		l.add(Lost, rec.ingress, rec.id, rec.ended, "forwarded, and its connection ended without an answer")
 	case !rec.ended.IsZero():
 		age := rec.ended.Sub(rec.sent)
-		if l.timed && age > crossingMost+l.stalls.between(rec.sent, rec.ended) {
+		if l.timed && age > crossingMost+l.slack(rec.ingress, rec.sent, rec.ended) {
 			l.add(Lost, rec.ingress, rec.id, rec.ended, "its connection ended without an answer %v after it was sent", age)
 		}
 	default:
@@ -224,7 +271,7 @@
 		}
 	case effectKeyed:
 		span := last.at.Sub(rec.runs[0].at)
-		if l.timed && last.quiet && n > 1 && span > repeatWindow+heldUpMost+l.stalls.between(rec.runs[0].at, last.at) {
+		if l.timed && last.quiet && n > 1 && span > repeatWindow+heldUpMost+l.slack(rec.ingress, rec.runs[0].at, last.at) {
 			l.add(RunTwice, rec.ingress, rec.id, last.at, "%v after the first, beyond the window", span)
 		}
 	}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -23,6 +23,7 @@
 	socketsMost     = 512
 	memoryMB        = 192
 	readyMost       = 30 * time.Second
+	newUntil        = 400 * time.Millisecond // after SIGTERM: clients open new connections
 )
 
 // ingressProcess is one ingress of the fleet, which may live several times.
@@ -36,13 +37,13 @@
 
 	change sync.Mutex // held while it is stopped or started
 
-	mu      sync.Mutex
-	cmd     *exec.Cmd
-	done    chan struct{} // closed when the process has ended
-	lives   int
-	killed  int       // the last life that was ended by SIGKILL before it ended by itself
-	termed  bool      // this life was told to end
-	stopped time.Time // held up now; zero: not
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	done   chan struct{} // closed when the process has ended
+	lives  int
+	killed int       // the last life that was ended by SIGKILL before it ended by itself
+	termed bool      // this life was told to end
+	termAt time.Time // when one was last told to end
 }
 
 func newIngressProcess(r *run, index int) (*ingressProcess, error) {
@@ -95,7 +96,11 @@
 	if err := p.configure(); err != nil {
 		return err
 	}
-	log, err := os.OpenFile(p.logPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	how := os.O_CREATE | os.O_APPEND | os.O_WRONLY
+	if p.life() == 0 { // else the log of an earlier run would be judged
+		how |= os.O_TRUNC
+	}
+	log, err := os.OpenFile(p.logPath(), how, 0o600)
 	if err != nil {
 		return err
 	}
@@ -171,6 +176,13 @@
 	return ""
 }
 
+// wasLeaving says whether a connection came later after SIGTERM than clients open new ones.
+func (p *ingressProcess) wasLeaving(dialled time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.termAt.IsZero() && dialled.Sub(p.termAt) > newUntil && dialled.Sub(p.termAt) < killAfter
+}
+
 func (p *ingressProcess) signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -198,7 +210,7 @@
 // answered by then.
 func (p *ingressProcess) terminate() {
 	p.mu.Lock()
-	p.termed = true
+	p.termed, p.termAt = true, time.Now()
 	p.mu.Unlock()
 	p.signal(syscall.SIGTERM)
 	select {
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -57,6 +57,8 @@
 		{"watches broken", func(_ context.Context, rng *rand.Rand, _ time.Duration) { r.anyAgent(rng).BreakWatches() }},
 		{"ingress held up", r.holdUp},
 		{"ingress held up", r.holdUp},
+		{"ingress frozen", r.freeze},
+		{"crowd of idle clients", r.crowd},
 		{"ingress restarted", r.restart},
 		{"ingress killed", r.killOne},
 		{"new configuration", r.reload},
@@ -144,14 +146,22 @@
 
 // holdUp stops a process for as long as the protocol lets machines be held up, at most.
 func (r *run) holdUp(_ context.Context, rng *rand.Rand, _ time.Duration) {
-	p := r.anyIngress(rng)
+	r.stopFor(r.anyIngress(rng), time.Duration(rng.Int64N(int64(heldUpMost*9/10))))
+}
+
+// stopFor stops a process for a time.
+func (r *run) stopFor(p *ingressProcess, lasts time.Duration) {
 	if !p.change.TryLock() {
 		return
 	}
 	defer p.change.Unlock()
+	began := time.Now()
 	p.signal(syscall.SIGSTOP)
-	time.Sleep(time.Duration(rng.Int64N(int64(heldUpMost * 9 / 10))))
+	time.Sleep(lasts)
 	p.signal(syscall.SIGCONT)
+	if now := time.Now(); now.Sub(began) > heldUpMost {
+		r.ledger.froze(p.index, began, now)
+	}
 }
 
 func (r *run) restart(ctx context.Context, rng *rand.Rand, _ time.Duration) {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -104,8 +104,15 @@
 			all.Go(func() { c.run(loadTime) })
 		}
 	}
+	for i, p := range r.fleet {
+		newcomers := newCaller(p, r.ledger, rand.New(rand.NewPCG(r.opts.Seed, uint64(1000*i+connsPerIngress+1))), 0)
+		bad := &rude{p, r.ledger, rand.New(rand.NewPCG(r.opts.Seed, uint64(1000*i+connsPerIngress+2)))}
+		all.Go(func() { newcomers.newcomers(loadTime) })
+		all.Go(func() { bad.run(faultTime) })
+	}
 	all.Go(func() { r.injectFaults(faultTime) })
 	all.Wait()
+	r.ledger.awaitAnswers(answerWait)
 }
 
 func (r *run) stopFleet() {
