--- a/internal/ingress/front.go
+++ b/internal/ingress/front.go
@@ -18,9 +18,7 @@
 	tidyEvery   = 250 * time.Millisecond
 	slotPause   = 5 * time.Millisecond // before a further connection is closed for want of a place
 	newcomer    = 50 * time.Millisecond
-	acceptPause = 5 * time.Millisecond // after an error that the next try may meet too
-	acceptStall = time.Millisecond     // accepting in turn takes less
-	unreadShare = 4                    // of the shortest deadline, a client may be left unread for one part
+	unreadShare = 4 // of the shortest deadline, a client may be left unread for one part
 )
 
 // front is the server side: it accepts clients on one address.
@@ -39,7 +37,7 @@
 	observe    *observer
 	holdUps    *holdUps      // nil: not noticed
 	unreadMost time.Duration // a client of which nothing is owed may be left unread for so long
-	behind     time.Time     // since when connections may wait to be accepted; zero: they don't
+	backlog    backlog
 }
 
 func newFront(ln net.Listener, gw *Gateway, most, memory int) *front {
@@ -58,12 +56,10 @@
 func (f *front) accept() {
 	defer close(f.accepted)
 	for {
-		asked := time.Now()
+		began := time.Now()
 		f.takeSlot()
-		if f.behind.IsZero() && time.Since(asked) > acceptStall {
-			f.behind = asked
-		}
-		asked = time.Now()
+		asked := time.Now()
+		f.backlog.waited(began, asked)
 		nc, err := f.ln.Accept()
 		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 			return
@@ -74,7 +70,7 @@
 			continue
 		}
 		c := newClient(f, nc)
-		f.noteWait(c, asked)
+		c.opened, c.behind = f.backlog.accepted(c.opened)
 		f.mu.Lock()
 		f.clients[c] = true
 		f.wg.Add(1)
@@ -93,24 +89,11 @@
 	if errors.Is(err, syscall.ECONNABORTED) || errors.Is(err, syscall.EINTR) {
 		return
 	}
-	if f.behind.IsZero() {
-		f.behind = asked
-	}
 	if ok, suppressed := f.observe.anomalies.Allow(asked); ok {
 		f.observe.log.Warn("no connection can be accepted", "err", err, "suppressed before", suppressed)
 	}
 	time.Sleep(acceptPause)
-}
-
-// noteWait tells a connection since when it may have waited to be accepted. Once one had to be waited for, the backlog was
-// empty.
-func (f *front) noteWait(c *client, asked time.Time) {
-	if time.Since(asked) > acceptStall {
-		f.behind = time.Time{}
-	}
-	if !f.behind.IsZero() {
-		c.opened, c.behind = f.behind, true
-	}
+	f.backlog.failed(asked, time.Now())
 }
 
 // takeSlot waits for the place of a further connection. Clients keep idle ones for good and hundreds may say nothing at
