--- /dev/null
+++ b/internal/ingress/attempts.go
@@ -0,0 +1,90 @@
+package ingress
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/tidwall/redcon"
+
+	"larchwick/logic"
+)
+
+// send begins an attempt, if the guard lets it.
+func (g *Gateway) send(s logic.Send) {
+	r, be := g.requests[s.ID], g.backends[s.Server]
+	if r == nil {
+		return
+	}
+	if be == nil { // gone and forgotten
+		be = &backend{Server: logic.Server{ID: s.Server, State: logic.Gone}}
+	}
+	a := &attempt{req: r, n: len(r.attempts), be: be, began: g.now, stop: r.GiveUpAt}
+	if s.StopAt > 0 {
+		a.stop = min(s.StopAt, r.GiveUpAt)
+	}
+	r.attempts = append(r.attempts, a)
+	r.out++
+	if !g.begins(a) {
+		return
+	}
+	g.observe.attemptBegins(a)
+	g.at(a.stop, func() { g.giveUp(a, logic.TimedOut) })
+	g.place(a)
+}
+
+// command is what an attempt writes: the client's own, with the time that is left for it.
+func (g *Gateway) command(a *attempt) job {
+	if a.req == nil {
+		return job{a: a, buf: redcon.AppendBulkString(redcon.AppendBulkString(redcon.AppendArray(nil, 2), "INFO"), "load")}
+	}
+	told := max(1, (a.stop - g.now).Milliseconds())
+	r := a.req
+	b := redcon.AppendArray(make([]byte, 0, 192+len(r.args[len(r.args)-1])), len(r.args))
+	for i, arg := range r.args {
+		if i == 3 {
+			fields := append(make([]byte, 0, len(arg)+8), arg[:r.dFrom]...)
+			fields = strconv.AppendInt(fields, told, 10)
+			arg = append(fields, arg[r.dTo:]...)
+		}
+		b = redcon.AppendBulk(b, arg)
+	}
+	return job{a: a, told: time.Duration(told) * time.Millisecond, buf: b}
+}
+
+// end tells the module how an attempt ended, once; the first that is served answers the client.
+func (g *Gateway) end(a *attempt, o logic.Outcome, rep reply) {
+	if a.ended {
+		return
+	}
+	a.ended, a.outcome = true, o
+	r := a.req
+	if r == nil {
+		g.tell(logic.ProbeEnded{Server: a.be.ID, Outcome: o, Took: g.now - a.began, Load: rep.load})
+		return
+	}
+	if o == logic.Done && rep.value == nil {
+		o = logic.Failed
+		a.outcome = o
+	}
+	g.observe.attemptEnded(a, g.now-a.began)
+	if o == logic.Done && !r.final {
+		g.noteLate(r)
+		r.final = true
+		g.observe.requestEnded(r, requestsServed)
+		r.slot.answer(redcon.AppendBulk(make([]byte, 0, len(rep.value)+16), rep.value))
+	}
+	r.out--
+	g.tell(logic.AttemptEnded{ID: r.ID, Attempt: a.n, Server: a.be.ID, Outcome: o, Took: g.now - a.began,
+		Finished: r.final, Settled: min(rep.settled, g.mostUnits), Load: rep.load})
+	g.forget(r)
+}
+
+func (g *Gateway) probe(id logic.ServerID) {
+	be := g.backends[id]
+	if be == nil {
+		return
+	}
+	a := &attempt{be: be, began: g.now, stop: g.now + probeTimeout}
+	g.at(a.stop, func() { g.giveUp(a, logic.TimedOut) })
+	g.place(a)
+}
--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -24,12 +24,12 @@
 type client struct {
 	f              *front
 	nc             net.Conn
-	in             inbox         // the reader's, as the next three are
+	in             inbox         // the reader's, as all up to blind are
 	paused         int32         // faults that were followed by a pause
 	left           bool          // the client has gone
 	limited        bool          // the rest of a command has a limit
 	first          bool          // nothing has been read yet
-	refusing       bool          // it is closing for faults: requests are turned away and anything else is dropped
+	refusing       bool          // it is closing for faults: requests are turned away
 	flood          int           // bytes read since the last rest, once nothing is taken any more
 	opened, readAt time.Time     // when it was accepted, or may have come; when what is in the inbox may have come
 	behind         bool          // it may have waited to be accepted since opened
--- /dev/null
+++ b/internal/ingress/lists.go
@@ -0,0 +1,76 @@
+package ingress
+
+import (
+	"larchwick/logic"
+)
+
+// fleet takes over a list of backends, or changes of it.
+func (g *Gateway) fleet(f Fleet) {
+	g.sharers = f.Sharers
+	if !f.All && len(f.Targets) == 0 { // of backends that are not held
+		return
+	}
+	ev := logic.FleetChanged{Whole: f.All, Sharers: f.Sharers}
+	if f.All {
+		for _, be := range g.backends {
+			be.State = logic.Gone
+			be.noteState(g.now)
+		}
+	}
+	for _, t := range f.Targets {
+		s := t.server()
+		be := g.backends[s.ID]
+		if be == nil {
+			be = &backend{}
+			g.backends[s.ID] = be
+		}
+		be.Server = s
+		be.noteState(g.now)
+		if s.State != logic.Gone {
+			be.addr = t.Endpoint
+		}
+		ev.Servers = append(ev.Servers, s)
+	}
+	g.retireIdle()
+	g.tell(ev)
+	for _, be := range g.backends {
+		for be.State != logic.Running && len(be.waiting) > 0 { // nothing new goes there, so these go elsewhere now
+			a := be.waiting[0]
+			be.waiting = be.waiting[1:]
+			g.end(a, logic.Moot, reply{})
+		}
+		g.drop(be)
+	}
+}
+
+// held is the list as it stands.
+func (g *Gateway) held() logic.Event {
+	ev := logic.FleetChanged{Whole: true, Sharers: g.sharers}
+	for _, be := range g.backends {
+		if be.State != logic.Gone {
+			ev.Servers = append(ev.Servers, be.Server)
+		}
+	}
+	return ev
+}
+
+func (g *Gateway) count(a logic.Count) {
+	k := &call{name: a.Name, add: a.Add, keep: a.Keep}
+	g.counter.add(k)
+	g.after(g.cfg.Settings.CounterTimeout, func() {
+		if k.state.CompareAndSwap(callQueued, callDropped) {
+			g.counted(counted{call: k, outcome: logic.NoConnect}) // never written, and never will be
+			return
+		}
+		g.counted(counted{call: k, outcome: logic.TimedOut})
+	})
+}
+
+// counted passes a call's reply on, once: an answer after the time-out is dropped.
+func (g *Gateway) counted(ev counted) {
+	if ev.call.ended {
+		return
+	}
+	ev.call.ended = true
+	g.tell(logic.CountReply{Name: ev.call.name, Outcome: ev.outcome, Total: ev.total})
+}
--- /dev/null
+++ b/internal/ingress/requests.go
@@ -0,0 +1,134 @@
+package ingress
+
+import (
+	"larchwick/logic"
+)
+
+// arrived takes a request in, or turns it away.
+func (g *Gateway) arrived(r *request) {
+	if r.left() {
+		r.final = true
+		return
+	}
+	// Many clients with large bodies must not fill the memory: beyond the bounds nothing is taken. Nor is at the end of
+	// a shutdown, while clients go on sending on what is still open.
+	if len(g.requests) >= g.net.MaxOpen || g.heldBytes+r.size > g.mostHeld || g.endBy > 0 && g.now >= g.endBy {
+		r.final = true
+		g.observe.turnedAway(r, "no room, or shutting down")
+		r.slot.answer(g.turnedAway)
+		return
+	}
+	if g.keys[r.key] { // the one who asked first has its answer, and nobody else
+		r.final = true
+		g.observe.requests.Add(requestsDuplicate)
+		r.slot.c.duplicate.Store(r.key)
+		g.observe.fault(r.slot.c, faultDuplicate, "the id "+r.id()+" is taken", r.slot.c.faults.Add(1))
+		r.slot.answer([]byte("-ERR a request of this id is being served\r\n"))
+		return
+	}
+	g.lastID++
+	r.ID = g.lastID
+	g.requests[r.ID], g.keys[r.key] = r, true
+	g.heldBytes += r.size
+	if g.endBy > 0 {
+		r.GiveUpAt = min(r.GiveUpAt, g.endBy)
+	}
+	if r.GiveUpAt <= g.now {
+		g.observe.requests.Add(requestsExpired)
+	}
+	g.tell(logic.Arrival{Request: r.Request})
+	g.at(r.GiveUpAt+overdue, func() {
+		delete(g.keys, r.key)
+		g.cutOff(r)
+	})
+}
+
+// refused gives a refusal of the module.
+func (g *Gateway) refused(a logic.Refuse) {
+	if r := g.requests[a.ID]; r != nil && !r.final {
+		g.observe.requestEnded(r, requestsRefused)
+		g.answer(r, busy(a.RetryAfter))
+	}
+}
+
+// failed gives a failure of the module.
+func (g *Gateway) failed(a logic.Fail) {
+	if r := g.requests[a.ID]; r != nil && !r.final {
+		g.observe.requestEnded(r, requestsFailed)
+		g.answer(r, []byte("-ERR failed\r\n"))
+	}
+}
+
+// noteLate tells of a request whose final answer comes after its client's time.
+func (g *Gateway) noteLate(r *request) {
+	due := max(r.until, g.epoch+g.holdUps.last()) // nothing is answered while the process does not run
+	if g.now > due+lateMost {
+		g.observe.violated(ruleInTime, r, g.now, "answered late")
+	}
+	if g.now > r.until && r.until > r.readAt { // else it was late as it came
+		g.observe.requests.Add(requestsLate)
+		g.observe.anomaly(r, "answered after the client's time", g.now)
+	}
+}
+
+// answer gives the final answer, once.
+func (g *Gateway) answer(r *request, b []byte) {
+	if r == nil || r.final {
+		return
+	}
+	g.noteLate(r)
+	r.final = true
+	r.slot.answer(b)
+	g.unsend(r)
+	g.forget(r)
+}
+
+// unsend ends the attempts of a request that is over which still wait for a connection, or for their turn on it: they must
+// not be sent any more, also where attempts that are out may not be called off.
+func (g *Gateway) unsend(r *request) {
+	for _, a := range r.attempts {
+		switch {
+		case a.ended:
+		case a.conn == nil:
+			g.unwait(a)
+			g.end(a, logic.Moot, reply{})
+		case a.taken.CompareAndSwap(false, true):
+			g.takeBack(a)
+		}
+	}
+}
+
+// abandon ends a request whose client has gone.
+func (g *Gateway) abandon(r *request) {
+	if r.final {
+		return
+	}
+	r.final = true
+	g.observe.requestEnded(r, requestsAbandoned)
+	g.tell(logic.Abandoned{ID: r.ID})
+	g.unsend(r)
+	g.forget(r)
+}
+
+// cutOff fails a request that the module has left unanswered until the last moment.
+func (g *Gateway) cutOff(r *request) {
+	if r.final {
+		return
+	}
+	g.observe.requests.Add(requestsCutOff)
+	g.observe.anomaly(r, "no answer in time", g.now)
+	text := []byte("-ERR failed\r\n")
+	if len(r.attempts) == 0 { // it never ran
+		text = g.turnedAway
+	}
+	g.tell(logic.Abandoned{ID: r.ID})
+	g.answer(r, text)
+}
+
+func (g *Gateway) forget(r *request) {
+	if r.final && r.out == 0 && g.requests[r.ID] == r {
+		g.heldBytes -= r.size
+		delete(g.requests, r.ID)
+		r.args, r.slot, r.attempts = nil, nil, nil // its timer may hold it for seconds more
+	}
+}
