--- a/internal/ingress/reader.go
+++ b/internal/ingress/reader.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"os"
@@ -10,6 +11,9 @@
 	"github.com/tidwall/redcon"
 )
 
+// requestWordEnd is where the first word of a request has ended in its command, at the latest.
+const requestWordEnd = 32
+
 var (
 	errEnded      = errors.New("the connection has ended between requests")
 	errUnfinished = errors.New("the command does not end")
@@ -209,16 +213,26 @@
 		if n == 0 || err != nil {
 			return false
 		}
-		whole, args, _, _, err := redcon.ReadNextCommand(b[:n], nil)
-		if err == nil && whole && len(args) > 0 && isRequest(args[0]) {
-			if r, err := c.f.gw.parse(args, c.readAt); err == nil && r.key != c.duplicate.Load() {
-				return true
-			}
+		if c.isNewRequest(b[:n]) {
+			return true
 		}
 		b = b[n:]
 	}
 }
 
+// isNewRequest says whether a command is a well-formed request whose id was not found taken on this connection.
+func (c *client) isNewRequest(f []byte) bool {
+	if !bytes.Contains(f[:min(len(f), requestWordEnd)], []byte("Q.")) { // a flood of others is cheap to look through
+		return false
+	}
+	whole, args, _, _, err := redcon.ReadNextCommand(f, nil)
+	if err != nil || !whole || len(args) == 0 || !isRequest(args[0]) {
+		return false
+	}
+	r, err := c.f.gw.parse(args, c.readAt)
+	return err == nil && r.key != c.duplicate.Load()
+}
+
 func isRequest(word []byte) bool { return string(word) == "Q.ASK" || string(word) == "Q.DO" }
 
 // look reads what has come, without waiting and as far as there is memory, up to the client's end: it says whether that
