Fault soak: what discovery tells counts as told in its time after trouble

Traced: those ingresses held version 2 of the list over hushed watches and a discovery that was down (logs of n8, n9, n14, n15); the protocol gives them 6 s then, the ledger did not.

--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -29,6 +29,7 @@
 	measureSlack  = 50 * time.Millisecond  // the protocol's, for what is measured on sockets
 	crossingMost  = 250 * time.Millisecond // a request may cross the end of its connection for so long
 	quietBefore   = 3 * time.Second        // what a proxy delayed is not judged by its time
+	toldClock     = 6 * time.Second        // what discovery has counts as told so long after trouble with it
 	mostViolation = 200                    // that are kept
 )
 
@@ -73,6 +74,7 @@
 	began  time.Time
 	stalls *stalls
 	timed  bool
+	told   func(ingress int, at time.Time) time.Time // when a change of that time counts as told to an ingress
 
 	mu         sync.Mutex
 	requests   map[uint64]*record
@@ -83,7 +85,7 @@
 }
 
 func newLedger(s *stalls, timed bool) *ledger {
-	return &ledger{began: time.Now(), stalls: s, timed: timed, requests: map[uint64]*record{}, frozen: map[int][]span{}, answers: map[string]int{}}
+	return &ledger{began: time.Now(), stalls: s, timed: timed, told: func(_ int, at time.Time) time.Time { return at }, requests: map[uint64]*record{}, frozen: map[int][]span{}, answers: map[string]int{}}
 }
 
 // span is a time from and to.
@@ -216,8 +218,11 @@
 	if over := seen.told - (rec.wait - seen.at.Sub(rec.sent)); over > toldSlack+slack {
 		l.add(DeadlineTold, rec.ingress, id, seen.at, "%v told, %v too much", seen.told, over)
 	}
-	if !drained.IsZero() && seen.at.Sub(drained) > drainSlack+slack {
-		l.add(SentToDrained, rec.ingress, id, seen.at, "%v after, backend %d", seen.at.Sub(drained), backend)
+	if drained.IsZero() {
+		return
+	}
+	if after := seen.at.Sub(l.told(rec.ingress, drained)); after > drainSlack+slack {
+		l.add(SentToDrained, rec.ingress, id, seen.at, "%v after it was told, backend %d", after, backend)
 	}
 }
 
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -102,3 +102,25 @@
 		})
 	}
 }
+
+// A change counts as told at once, or in its time after trouble with discovery.
+func TestChangesAreTold(t *testing.T) {
+	now := time.Now()
+	for name, c := range map[string]struct{ vexed, want time.Duration }{
+		"no trouble":     {-time.Hour, 0},
+		"long before":    {-toldClock - time.Second, 0},
+		"shortly before": {-time.Second, toldClock},
+		"after":          {time.Second, time.Second + toldClock},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := &world{}
+			w.vexed[1] = now.Add(c.vexed)
+			if got := w.toldAt(3, now).Sub(now); got != c.want {
+				t.Fatalf("told after %v, want %v", got, c.want)
+			}
+			if got := w.toldAt(2, now); !got.Equal(now) {
+				t.Fatal("the other side had no trouble")
+			}
+		})
+	}
+}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -53,8 +53,8 @@
 		{"counter down", r.counterFault(standin.Down)},
 		{"discovery silent", r.discoveryFault(standin.Silent)},
 		{"discovery down", r.discoveryFault(standin.Down)},
-		{"watches hushed", func(_ context.Context, rng *rand.Rand, _ time.Duration) { r.anyAgent(rng).HushWatches() }},
-		{"watches broken", func(_ context.Context, rng *rand.Rand, _ time.Duration) { r.anyAgent(rng).BreakWatches() }},
+		{"watches hushed", r.watchFault(func(a *agent) { a.HushWatches() })},
+		{"watches broken", r.watchFault(func(a *agent) { a.BreakWatches() })},
 		{"ingress held up", r.holdUp},
 		{"ingress held up", r.holdUp},
 		{"ingress frozen", r.freeze},
@@ -65,8 +65,6 @@
 	}
 }
 
-func (r *run) anyAgent(rng *rand.Rand) *agent { return r.world.agents[rng.IntN(sideCount)] }
-
 func (r *run) anyIngress(rng *rand.Rand) *ingressProcess { return r.fleet[rng.IntN(len(r.fleet))] }
 
 // throughProxy disturbs what a proxy carries for a while.
@@ -137,10 +135,20 @@
 
 func (r *run) discoveryFault(s standin.State) func(context.Context, *rand.Rand, time.Duration) {
 	return func(ctx context.Context, rng *rand.Rand, lasts time.Duration) {
-		a := r.anyAgent(rng)
-		a.SetState(s)
+		side := rng.IntN(sideCount)
+		r.world.vex(side)
+		r.world.agents[side].SetState(s)
 		pause(ctx, lasts)
-		a.SetState(standin.Up)
+		r.world.agents[side].SetState(standin.Up)
+		r.world.vex(side)
+	}
+}
+
+func (r *run) watchFault(breakThem func(*agent)) func(context.Context, *rand.Rand, time.Duration) {
+	return func(_ context.Context, rng *rand.Rand, _ time.Duration) {
+		side := rng.IntN(sideCount)
+		r.world.vex(side)
+		breakThem(r.world.agents[side])
 	}
 }
 
@@ -195,6 +203,7 @@
 		return
 	}
 	defer p.change.Unlock()
+	r.world.vex(p.side)
 	p.moved++
 	if err := p.configure(); err != nil {
 		r.ledger.violated(Crashed, p.index, "configuration: %v", err)
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -30,6 +30,7 @@
 	mu      sync.Mutex
 	states  []string               // of the backends, as discovery tells them
 	touched [sideCount][]time.Time // when a proxy last delayed what it carries
+	vexed   [sideCount]time.Time   // when there was last trouble with discovery
 }
 
 // agent is discovery as one side sees it.
@@ -40,6 +41,7 @@
 
 func newWorld(l *ledger, seed uint64) (w *world, err error) {
 	w = &world{ledger: l}
+	l.told = w.toldAt
 	defer func() {
 		if err != nil {
 			w.close()
@@ -143,6 +145,28 @@
 	w.touched[side][i] = time.Now()
 }
 
+// vex notes that there is trouble with a side's discovery, now.
+func (w *world) vex(side int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.vexed[side] = time.Now()
+}
+
+// toldAt is when a change of discovery counts as told to an ingress: at once, or toldClock after the last trouble, where that
+// was after the change or so shortly before it that a watch may not have been opened anew.
+func (w *world) toldAt(ingress int, at time.Time) time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	vexed := w.vexed[ingress%sideCount]
+	switch {
+	case vexed.Before(at.Add(-toldClock)):
+		return at
+	case vexed.Before(at):
+		vexed = at
+	}
+	return vexed.Add(toldClock)
+}
+
 // quiet says whether no proxy before a backend has delayed anything lately.
 func (w *world) quiet(i int) bool {
 	w.mu.Lock()
