--- a/internal/tools/knownred/main.go
+++ b/internal/tools/knownred/main.go
@@ -57,14 +57,15 @@
 type result struct {
 	failed   []string // top-level tests
 	packages map[string]bool
-	explains map[string]bool // packages with a failed test: their own failure needs no other cause
-	passed   bool            // some test passed
-	broken   []string        // what failed without a test: a build, a panic, a data race outside of a test
+	explains map[string]bool   // packages with a failed test: their own failure needs no other cause
+	passed   bool              // some test passed
+	broken   []string          // what failed without a test: a build, a panic, a data race outside of a test
+	held     map[string]string // output of tests that have not ended, by package and test
 }
 
-// read takes the records in and copies their text to out.
+// read takes the records in. It copies the text of packages, and of tests that fail, to out.
 func read(in io.Reader, out io.Writer) (result, error) {
-	r := result{packages: map[string]bool{}, explains: map[string]bool{}}
+	r := result{packages: map[string]bool{}, explains: map[string]bool{}, held: map[string]string{}}
 	lines := bufio.NewScanner(in)
 	lines.Buffer(nil, maxLine)
 	for lines.Scan() {
@@ -91,15 +92,21 @@
 		if isQuiet(e) {
 			return
 		}
-		io.WriteString(out, e.Output)
+		if e.Test == "" {
+			io.WriteString(out, e.Output)
+		} else {
+			r.held[e.Package+" "+e.Test] += e.Output
+		}
 		if isCrash(e.Output) {
 			r.broken = append(r.broken, e.Package+": "+strings.TrimSpace(e.Output))
 		}
 	case "build-fail":
 		r.broken = append(r.broken, e.ImportPath)
-	case "pass":
-		r.passed = r.passed || e.Test != ""
+	case "pass", "skip":
+		delete(r.held, e.Package+" "+e.Test)
+		r.passed = r.passed || e.Test != "" && e.Action == "pass"
 	case "fail":
+		r.tell(e, out)
 		switch {
 		case e.Test == "":
 			r.packages[e.Package] = true
@@ -110,6 +117,16 @@
 	}
 }
 
+// tell writes the output of a test that failed, or of the tests that had not ended when their package did.
+func (r *result) tell(e event, out io.Writer) {
+	for key, text := range r.held {
+		if key == e.Package+" "+e.Test || e.Test == "" && strings.HasPrefix(key, e.Package+" ") {
+			io.WriteString(out, text)
+			delete(r.held, key)
+		}
+	}
+}
+
 // isCrash says whether a line tells of more than a failed test: no list excuses that.
 func isCrash(text string) bool {
 	for _, prefix := range []string{"panic: ", "fatal error: ", "WARNING: DATA RACE"} {
