--- a/cmd/hitchspring/incident_test.go
+++ b/cmd/hitchspring/incident_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -24,11 +25,11 @@
 	"contracts":[{"name":"free","price":1}],
 	"permissions":{"connIdleUs":120e6,"connectTimeoutUs":10e6,"maxAttempts":3,"mayCancel":true,"retryAfter":true}}`
 
-// startBefore runs an ingress as a process before one backend and returns its address.
-func startBefore(t *testing.T, backend string) string {
+// startBefore runs an ingress as a process before one backend and returns its address and its id.
+func startBefore(t *testing.T, backend string) (addr string, pid int) {
 	t.Helper()
 	front := reserve(t)
-	start(t, map[string]any{"listen": front.addr, "discovery": reserve(t).addr, "seed": "1",
+	pid = start(t, map[string]any{"listen": front.addr, "discovery": reserve(t).addr, "seed": "1",
 		"known": ingress.Fleet{Rev: 1, All: true, Targets: []ingress.Target{
 			{UID: "b", Endpoint: backend, State: "SERVING"}}},
 		"limits": map[string]any{"cores": 1, "sockets": descriptors}, "settings": json.RawMessage(settingsOfIncident)})
@@ -36,7 +37,7 @@
 		got, err := exchange(front.addr, []byte(ping), 1)
 		return err == nil && got == "+PONG\r\n"
 	})
-	return front.addr
+	return front.addr, pid
 }
 
 // try is a client's command of a class with so many milliseconds left.
@@ -99,7 +100,7 @@
 	silent.SetMode(faults.Silent)
 	for i := range processes {
 		t.Run(fmt.Sprint("process ", i), func(t *testing.T) {
-			addr := startBefore(t, silent.Addr())
+			addr, _ := startBefore(t, silent.Addr())
 			t.Parallel()
 			shared := connect(t, addr)
 			id := 0
@@ -134,7 +135,7 @@
 	close(always)
 	var shared, others atomic.Int32
 	target := backends(t, "value", always, &others)
-	addr := startBefore(t, target)
+	addr, _ := startBefore(t, target)
 	front := connect(t, addr)
 	const nonsense, chain = 9, 60
 	for range nonsense {
@@ -167,7 +168,8 @@
 	always := make(chan struct{})
 	close(always)
 	var commands atomic.Int32
-	front := connect(t, startBefore(t, backends(t, "value", always, &commands)))
+	addr, _ := startBefore(t, backends(t, "value", always, &commands))
+	front := connect(t, addr)
 	io.WriteString(front.nc, strings.Repeat("*1\r\n$5\r\nHELLO\r\n", 12))
 	front.nc.Write(try(1, "slow", 50_000))
 	rest, err := io.ReadAll(front.in)
@@ -179,3 +181,42 @@
 		t.Fatalf("the last answer is %q, want the request's", got)
 	}
 }
+
+// A request that comes while the process is stopped counts from then: its backend is told what its client has left. A machine that
+// is busy may hide one stop from the process, not each of many.
+func TestRequestThatCameInAHoldUp(t *testing.T) {
+	const wait, stopped = 10_000, 300 * time.Millisecond
+	told := make(chan int, 1)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	each(t, ln, func(nc net.Conn) {
+		for in := redcon.NewReader(nc); ; {
+			cmd, err := in.ReadCommand()
+			if err != nil {
+				return
+			}
+			var left int
+			fmt.Sscanf(string(cmd.Args[3]), "c=slow,t=free,d=%d", &left)
+			told <- left
+			io.WriteString(nc, "*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n")
+		}
+	})
+	addr, pid := startBefore(t, ln.Addr().String())
+	front, id := connect(t, addr), 0
+	awaitThat(t, "a backend is told what is left", func() bool {
+		id++
+		syscall.Kill(pid, syscall.SIGSTOP)
+		front.nc.Write(try(id, "slow", wait))
+		written := time.Now()
+		time.Sleep(stopped)
+		span := time.Since(written)
+		syscall.Kill(pid, syscall.SIGCONT)
+		left := <-told
+		if got := front.answer(); got != "value" {
+			t.Fatalf("answer %q", got)
+		}
+		return int64(left) <= wait-span.Milliseconds()
+	})
+}
