--- a/internal/ingress/guard.go
+++ b/internal/ingress/guard.go
@@ -95,7 +95,7 @@
 		case !b.ended && !g.cfg.Settings.SecondCopies:
 			return errParallel
 		case class.Effect == logic.Safe:
-		case class.Effect == logic.Unsafe || !sameGroup(class.Group, a.be.Server, b.be.Server):
+		case class.Effect == logic.Unsafe || !class.Group.Shares(a.be.Server, b.be.Server):
 			return errRepeat
 		case g.now+heldUpMost >= b.began+class.RepeatWindow:
 			return errWindow
@@ -104,19 +104,6 @@
 	return nil
 }
 
-// sameGroup says whether two servers throw away repeats of each other's requests.
-func sameGroup(group logic.Group, a, b logic.Server) bool {
-	switch group {
-	case logic.GroupAll:
-		return true
-	case logic.GroupZone:
-		return a.Zone == b.Zone
-	case logic.GroupCell:
-		return a.Cell == b.Cell
-	}
-	return false
-}
-
 // isFault says whether a reason is a fault of the module, and which rule it would break.
 func isFault(reason error) (rule, bool) {
 	switch {
--- a/logic/api.go
+++ b/logic/api.go
@@ -33,8 +33,8 @@
 	GroupAll
 )
 
-// shares says whether two servers share the keys that they have seen.
-func (group Group) shares(a, b Server) bool {
+// Shares says whether two servers share the keys that they have seen.
+func (group Group) Shares(a, b Server) bool {
 	return group == GroupAll || group == GroupZone && a.Zone == b.Zone || group == GroupCell && a.Cell == b.Cell
 }
 
--- a/logic/servers.go
+++ b/logic/servers.go
@@ -79,7 +79,7 @@
 	anchor := r.anchor()
 	for i := from; i < len(g.fleet); i += every {
 		s := g.fleet[i]
-		if anchor != nil && !r.class.Group.shares(anchor.s.Server, s.Server) || !g.coldRoom(s) {
+		if anchor != nil && !r.class.Group.Shares(anchor.s.Server, s.Server) || !g.coldRoom(s) {
 			continue
 		}
 		score := g.slowness(s) * (1 + float64(len(s.out))) * (1 + 0.1*g.rng.Float64())
