--- a/internal/ingress/reader.go
+++ b/internal/ingress/reader.go
@@ -181,7 +181,7 @@
 		err := c.in.fill(c.nc.Read)
 		c.limit(time.Time{})
 		if errors.Is(err, os.ErrDeadlineExceeded) { // or the writer asks: the next read answers
-			return !c.hasEnded()
+			return true
 		}
 		if isTransient(err) {
 			time.Sleep(transientPause)
@@ -289,12 +289,6 @@
 	return c.spoken
 }
 
-func (c *client) hasEnded() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.ended
-}
-
 // command takes one whole command.
 func (c *client) command(f []byte) {
 	whole, args, _, _, err := redcon.ReadNextCommand(f, nil)
@@ -318,6 +312,7 @@
 		c.fault(faultRequest, err.Error())
 		return
 	}
+	c.observe().requests.Add(requestsRead)
 	if c.refusing || c.blind || c.crowded(mostPipelined) {
 		c.observe().turnedAway(r, "the connection is closing, or has too many open commands")
 		c.reply(c.f.gw.turnedAway)
@@ -329,6 +324,5 @@
 		return
 	}
 	r.slot = s
-	c.observe().requests.Add(requestsRead)
 	c.f.gw.post(arrived{r})
 }
