--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,5 +3,5 @@
 cd "$(dirname "$0")" || exit 2
 ROOT=$(cd ../.. && pwd) || exit 2
 export ROOT
-[ -x ../bin/heldanswers ] && [ -x "$ROOT/bin/ingress" ] || exit 2
-exec ../bin/heldanswers
+[ -x ../bin/secondanswer ] && [ -x "$ROOT/bin/ingress" ] || exit 2
+exec ../bin/secondanswer
--- a/review/_standins/rig/backend.go
+++ b/review/_standins/rig/backend.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -19,12 +21,16 @@
 	FirstByte  time.Time
 	LastByte   time.Time
 	AnsweredAt time.Time // zero while it has no answer
+	MoreAt     time.Time // time at which more was written behind the answer
 }
 
-// Answer says what a backend does with a command: it answers with Text after Delay. An empty Text means no answer.
+// Answer says what a backend does with a command: it answers with Text after Delay. An empty Text means no answer. More is
+// written behind the answer, MoreAfter later, if no other command has come on the connection by then.
 type Answer struct {
-	Delay time.Duration
-	Text  string
+	Delay     time.Duration
+	Text      string
+	MoreAfter time.Duration
+	More      string
 }
 
 // Backend is one backend. Behave decides what happens to each command; it is called concurrently.
@@ -103,6 +109,18 @@
 		b.mu.Lock()
 		a.AnsweredAt = time.Now()
 		b.mu.Unlock()
+		if answer.More == "" {
+			continue
+		}
+		nc.SetReadDeadline(time.Now().Add(answer.MoreAfter))
+		_, err = in.Peek(1)
+		nc.SetReadDeadline(time.Time{})
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			io.WriteString(nc, answer.More)
+			b.mu.Lock()
+			a.MoreAt = time.Now()
+			b.mu.Unlock()
+		}
 	}
 }
 
@@ -112,6 +130,11 @@
 	return fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$13\r\nused=2,cost=2\r\n$-1\r\n", len(value), value)
 }
 
+// Unfinished returns the part of Value that comes before its last element: an answer that never ends.
+func Unfinished(id string, length int) string {
+	return strings.TrimSuffix(Value(id, length), "$-1\r\n")
+}
+
 // field returns the value of a field of a command.
 func field(fields, name string) string {
 	for part := range strings.SplitSeq(fields, ",") {
--- a/review/_standins/rig/client.go
+++ b/review/_standins/rig/client.go
@@ -191,3 +191,9 @@
 	}
 	return "value", string(value[:min(length, 40)]), nil
 }
+
+// Answered reports whether the request has its answer. It must not be called while the connection is being read.
+func (r *Request) Answered() bool { return r.Kind != "" }
+
+// IsOwnValue reports whether the value is the one that a backend has made for this request.
+func (r *Request) IsOwnValue() bool { return strings.HasPrefix(r.Text, "value of "+r.ID) }
--- a/review/_standins/rig/cluster.go
+++ b/review/_standins/rig/cluster.go
@@ -147,10 +147,16 @@
 		line := fmt.Sprintf("request %s %s d=%dms sent=%s", q.ID, q.Class, q.Timeout.Milliseconds(), since(q.SentAt))
 		for _, a := range ran[q.ID] {
 			line += fmt.Sprintf(" run at backend %d from=%s answered=%s", a.Backend, since(a.LastByte), since(a.AnsweredAt))
+			if !a.MoreAt.IsZero() {
+				line += fmt.Sprintf(" unfinished second answer=%s", since(a.MoreAt))
+			}
 		}
 		switch {
 		case q.Kind != "":
 			line += fmt.Sprintf(" got %s at=%s", q.Kind, since(q.At))
+			if q.Kind == "value" && !q.IsOwnValue() {
+				line += fmt.Sprintf(" FOREIGN: %q", q.Text)
+			}
 		case !q.Ended.IsZero():
 			line += fmt.Sprintf(" NO ANSWER, the ingress ended the connection at=%s (%s)", since(q.Ended), q.EndedBy)
 		case !q.Left.IsZero():
