--- a/review/_standins/rig/process.go
+++ b/review/_standins/rig/process.go
@@ -16,6 +16,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"lemontack/internal/loopback"
 )
 
 // Errors of the set-up, after which a case ends with exit code 2.
@@ -29,8 +31,9 @@
 	Address string
 	LogPath string
 
-	root       string
-	configPath string
+	reservation *loopback.Reservation // keeps the port from other sockets until the case ends
+	root        string
+	configPath  string
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
@@ -41,22 +44,12 @@
 
 // NewIngress returns an ingress that has not started. Its files are in dir.
 func NewIngress(root, dir, name string) (*Ingress, error) {
-	address, err := FreeAddress()
+	reservation, err := loopback.Reserve()
 	if err != nil {
 		return nil, err
 	}
-	return &Ingress{Address: address, root: root, configPath: filepath.Join(dir, name+".json"),
-		LogPath: filepath.Join(dir, name+".log")}, nil
-}
-
-// FreeAddress returns a loopback address whose port is free.
-func FreeAddress() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+	return &Ingress{Address: reservation.Address(), reservation: reservation, root: root,
+		configPath: filepath.Join(dir, name+".json"), LogPath: filepath.Join(dir, name+".log")}, nil
 }
 
 // runCommand returns the value of the key run in the deploy file.
