--- a/review/_standins/rig/backend.go
+++ b/review/_standins/rig/backend.go
@@ -25,12 +25,14 @@
 }
 
 // Answer says what a backend does with a command: it answers with Text after Delay. An empty Text means no answer. More is
-// written behind the answer, MoreAfter later, if no other command has come on the connection by then.
+// written behind the answer, MoreAfter later, if no other command has come on the connection by then; Rest ends it RestAfter later.
 type Answer struct {
 	Delay     time.Duration
 	Text      string
 	MoreAfter time.Duration
 	More      string
+	RestAfter time.Duration
+	Rest      string
 }
 
 // Backend is one backend. Behave decides what happens to each command; it is called concurrently.
@@ -117,6 +119,8 @@
 		nc.SetReadDeadline(time.Time{})
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			io.WriteString(nc, answer.More)
+			time.Sleep(answer.RestAfter)
+			io.WriteString(nc, answer.Rest)
 			b.mu.Lock()
 			a.MoreAt = time.Now()
 			b.mu.Unlock()
@@ -130,9 +134,12 @@
 	return fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$13\r\nused=2,cost=2\r\n$-1\r\n", len(value), value)
 }
 
+// LastElement is the last element of Value.
+const LastElement = "$-1\r\n"
+
 // Unfinished returns the part of Value that comes before its last element: an answer that never ends.
 func Unfinished(id string, length int) string {
-	return strings.TrimSuffix(Value(id, length), "$-1\r\n")
+	return strings.TrimSuffix(Value(id, length), LastElement)
 }
 
 // field returns the value of a field of a command.
--- a/review/_standins/secondanswer/main.go
+++ b/review/_standins/secondanswer/main.go
@@ -19,6 +19,7 @@
 	callouts    = 0.48 // share of callouts
 	customers   = 400
 	valueLength = 60
+	restAfter   = 60 * time.Millisecond // time from the first piece of a second answer to its last one
 	// unfinishedRefusal is the beginning of an answer to a request that is already over.
 	unfinishedRefusal = "-BUSY inflight=7,queue=2,util=0.6"
 	playTime          = 40 * time.Second
@@ -30,7 +31,7 @@
 	rate  = flag.Float64("rate", 140, "requests a second to each ingress")
 	conns = flag.Int("conns", 20, "connections of clients to each ingress")
 	share = flag.Float64("share", 0.05, "share of the answers that a second one follows")
-	kind  = flag.String("kind", "copy", "the second answer without its end: copy of the first, or busy for a refusal with a load report")
+	kind  = flag.String("kind", "copy", "the second answer: copy without its end, busy for a refusal without its end, pieces for a copy whose end comes later")
 	after = flag.Duration("after", 5*time.Millisecond, "time from the answer to the second one")
 )
 
@@ -51,8 +52,11 @@
 		}
 		if rig.Trouble() && time.Since(record.Start) > quietTime && rand.Float64() < *share {
 			answer.MoreAfter, answer.More = *after, rig.Unfinished(id, valueLength)
-			if *kind == "busy" {
+			switch *kind {
+			case "busy":
 				answer.More = unfinishedRefusal
+			case "pieces":
+				answer.RestAfter, answer.Rest = restAfter, rig.LastElement
 			}
 		}
 		return answer
