--- a/review/_standins/badclients/main.go
+++ b/review/_standins/badclients/main.go
@@ -18,15 +18,16 @@
 )
 
 const (
-	fleet     = 2
-	backends  = 8
-	callouts  = 0.48                   // share of callouts
-	customers = 400                    // customers of the usual clients
-	playTime  = 40 * time.Second       // time for which requests are sent
-	quietTime = 5 * time.Second        // time before the bad clients come
-	grace     = 550 * time.Millisecond // half a second, and the 50 ms by which every limit is longer on sockets
-	lastWait  = 8 * time.Second        // time that a usual client waits for an answer
-	resends   = 1                      // times that a request is sent again after it has crossed the end of a connection
+	fleet       = 2
+	backends    = 8
+	callouts    = 0.48                   // share of callouts
+	customers   = 400                    // customers of the usual clients
+	playTime    = 40 * time.Second       // time for which requests are sent
+	quietTime   = 5 * time.Second        // time before the bad clients come
+	grace       = 550 * time.Millisecond // half a second, and the 50 ms by which every limit is longer on sockets
+	lastWait    = 8 * time.Second        // time that a usual client waits for an answer
+	minRequests = 2000                   // a run with fewer does not count
+	resends     = 1                      // times that a request is sent again after it has crossed the end of a connection
 )
 
 var (
@@ -87,6 +88,9 @@
 		requests = append(requests, p.requests...)
 		record.Printf("%d requests were not sent, for want of a connection", p.unsent)
 	}
+	if err := cluster.Sound(record, len(requests), minRequests); err != nil {
+		return 0, err
+	}
 	return judge(record, requests, cluster.Ran()), nil
 }
 
--- a/review/_standins/heldanswers/main.go
+++ b/review/_standins/heldanswers/main.go
@@ -1,4 +1,4 @@
-// Command heldanswers plays clients that pipeline, whose connections stay open and are read all the time, while some backends
+// Command heldanswers plays clients that send many commands at once and read all answers as they come, while some backends
 // hang: the answers to later requests wait on the connection behind that to an earlier one. It exits with 1 if an ingress ended
 // a connection without an answer to requests that it had sent on.
 package main
@@ -15,9 +15,9 @@
 )
 
 const (
-	fleet       = 2
-	backends    = 8
-	hangingPart = 3 // backends that hang at a time
+	fleet    = 2
+	backends = 8
+
 	hangTime    = 4 * time.Second
 	hangEvery   = 10 * time.Second
 	playTime    = 56 * time.Second
@@ -25,12 +25,14 @@
 	shortValue  = 200
 	callouts    = 0.48 // share of callouts
 	customers   = 400
+	minRequests = 10000 // a run with fewer does not count
 )
 
 var (
-	memory  = flag.Int("memory", 64, "memory limit of an ingress in MB")
+	memory  = flag.Int("memory", 32, "memory limit of an ingress in MB")
 	rate    = flag.Float64("rate", 280, "requests a second to each ingress")
-	conns   = flag.Int("conns", 10, "connections of clients to each ingress")
+	hanging = flag.Int("hanging", 4, "backends that hang at a time")
+	batch   = flag.Int("batch", 40, "commands that a client sends at once")
 	long    = flag.Int("long", 60<<10, "length of a long value")
 	share   = flag.Float64("share", 0.8, "share of the lookups that have a long value")
 	sockets = flag.Int("sockets", 512, "descriptors of an ingress")
@@ -71,7 +73,7 @@
 func (w *world) hang(record *rig.Record) {
 	for at := record.Start.Add(hangEvery / 2); ; at = at.Add(hangEvery) {
 		time.Sleep(time.Until(at))
-		chosen := rand.Perm(backends)[:hangingPart]
+		chosen := rand.Perm(backends)[:*hanging]
 		record.Printf("backends %v of %d hang for %v", chosen, backends, hangTime)
 		w.mu.Lock()
 		w.hanging = map[int]bool{}
@@ -105,7 +107,7 @@
 		return 0, err
 	}
 	record.Start = time.Now()
-	record.Printf("%d ingresses with %d MB, %d backends, %d connections to each ingress", fleet, *memory, backends, *conns)
+	record.Printf("%d ingresses with %d MB, %d backends, %d commands at once", fleet, *memory, backends, *batch)
 	if rig.Trouble() {
 		go w.hang(record)
 	}
@@ -113,55 +115,109 @@
 	for i, in := range cluster.Ingresses {
 		record.Printf("ingress %d: peak memory %d KB", i, in.PeakMemory())
 	}
+	if err := cluster.Sound(record, len(requests), minRequests); err != nil {
+		return 0, err
+	}
 	return judge(record, requests, cluster.Ran()), nil
 }
 
+// pool holds the connections of the clients of one ingress. A client sends many commands at once on a connection that rests, and
+// opens a new one if all are busy.
+type pool struct {
+	address string
+
+	mu       sync.Mutex
+	busy     int // connections with open requests
+	resting  []*rig.Client
+	requests []*rig.Request
+}
+
 // play sends the requests of all clients and returns them.
 func play(cluster *rig.Cluster, stop time.Time) (requests []*rig.Request) {
-	var mu sync.Mutex
 	var clients sync.WaitGroup
-	for i := range cluster.Ingresses {
-		for range *conns {
-			clients.Go(func() {
-				sent := playClient(cluster.Ingresses[i].Address, stop)
-				mu.Lock()
-				requests = append(requests, sent...)
-				mu.Unlock()
-			})
-		}
+	var pools []*pool
+	for _, in := range cluster.Ingresses {
+		p := &pool{address: in.Address}
+		pools = append(pools, p)
+		clients.Go(func() { p.play(stop) })
 	}
 	clients.Wait()
+	for _, p := range pools {
+		requests = append(requests, p.requests...)
+	}
 	return requests
 }
 
-// playClient sends requests on one connection, and on a new one when that has ended.
-func playClient(address string, stop time.Time) (requests []*rig.Request) {
-	var conn *rig.Client
-	var err error
+func (p *pool) play(stop time.Time) {
+	var open sync.WaitGroup
 	for time.Now().Before(stop) {
-		time.Sleep(time.Duration(rand.ExpFloat64() * float64(*conns) / *rate * float64(time.Second)))
-		if conn == nil {
-			if conn, err = rig.Dial(address); err != nil {
-				conn = nil
-				continue
-			}
-		}
+		time.Sleep(time.Duration(rand.ExpFloat64() * float64(*batch) / *rate * float64(time.Second)))
+		open.Go(p.send)
+	}
+	open.Wait()
+}
+
+// send sends many commands at once and waits for the answers.
+func (p *pool) send() {
+	conn := p.take()
+	if conn == nil {
+		return
+	}
+	defer p.release(conn)
+	var orders []rig.Order
+	for range *batch {
 		order := rig.Order{Class: "unit-status", Plan: "full-cover", Customer: rand.IntN(customers), Spread: fleet,
 			Timeout: time.Second}
 		if rand.Float64() < callouts {
 			order.Class, order.Timeout = "book-callout", 2500*time.Millisecond
 		}
-		sent, err := conn.Send(order)
-		requests = append(requests, sent...)
-		if err != nil {
-			conn = nil
+		orders = append(orders, order)
+	}
+	sent, _ := conn.Send(orders...)
+	p.mu.Lock()
+	p.requests = append(p.requests, sent...)
+	p.mu.Unlock()
+	for end := time.Now().Add(lastAnswers); conn.Pending() > 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// take returns a resting connection, or a new one if there is none. It returns nil if clients hold a third of the ingress's
+// descriptors, or the ingress takes no connection.
+func (p *pool) take() *rig.Client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.busy >= *sockets/3 {
+		return nil
+	}
+	p.busy++
+	for len(p.resting) > 0 {
+		conn := p.resting[len(p.resting)-1]
+		p.resting = p.resting[:len(p.resting)-1]
+		select {
+		case <-conn.Done():
+		default:
+			return conn
 		}
 	}
-	if conn != nil {
-		time.Sleep(lastAnswers)
+	conn, err := rig.Dial(p.address)
+	if err != nil {
+		p.busy--
+		return nil
+	}
+	return conn
+}
+
+// release keeps a connection whose requests are all answered, and closes any other.
+func (p *pool) release(conn *rig.Client) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.busy--
+	if conn.Pending() > 0 {
 		conn.Close()
+		return
 	}
-	return requests
+	p.resting = append(p.resting, conn)
 }
 
 // judge writes the record and decides. A request counts as lost only if it has reached a backend, so that the ingress has surely
--- a/review/_standins/rig/backend.go
+++ b/review/_standins/rig/backend.go
@@ -24,6 +24,9 @@
 	MoreAt     time.Time // time at which more was written behind the answer
 }
 
+// maxMoreDelay is how late More may be; if it would be later, it is not written.
+const maxMoreDelay = 3 * time.Millisecond
+
 // Answer says what a backend does with a command: it answers with Text after Delay. An empty Text means no answer. More is
 // written behind the answer, MoreAfter later, if no other command has come on the connection by then; Rest ends it RestAfter later.
 type Answer struct {
@@ -111,13 +114,14 @@
 		b.mu.Lock()
 		a.AnsweredAt = time.Now()
 		b.mu.Unlock()
+		answered := time.Now()
 		if answer.More == "" {
 			continue
 		}
 		nc.SetReadDeadline(time.Now().Add(answer.MoreAfter))
 		_, err = in.Peek(1)
 		nc.SetReadDeadline(time.Time{})
-		if errors.Is(err, os.ErrDeadlineExceeded) {
+		if errors.Is(err, os.ErrDeadlineExceeded) && time.Since(answered) < answer.MoreAfter+maxMoreDelay {
 			io.WriteString(nc, answer.More)
 			time.Sleep(answer.RestAfter)
 			io.WriteString(nc, answer.Rest)
--- a/review/_standins/rig/main.go
+++ b/review/_standins/rig/main.go
@@ -55,6 +55,7 @@
 		fmt.Fprintln(os.Stderr, "the case was ended early")
 		exit(NotRun)
 	}()
+	go watchLag() // ends with the process
 	code, err := run()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "the case could not run:", err)
--- a/review/_standins/secondanswer/main.go
+++ b/review/_standins/secondanswer/main.go
@@ -19,6 +19,8 @@
 	callouts    = 0.48 // share of callouts
 	customers   = 400
 	valueLength = 60
+	minRequests = 5000                  // a run with fewer does not count
+	minSeconds  = 50                    // second answers; a run with fewer does not count
 	restAfter   = 60 * time.Millisecond // time from the first piece of a second answer to its last one
 	// unfinishedRefusal is the beginning of an answer to a request that is already over.
 	unfinishedRefusal = "-BUSY inflight=7,queue=2,util=0.6"
@@ -72,7 +74,10 @@
 	record.Printf("%d ingresses, %d backends; a second answer after %v behind a share of %v of the answers", fleet, backends, *after,
 		*share)
 	requests := play(cluster, record.Start.Add(playTime))
-	return judge(record, requests, cluster.Ran()), nil
+	if err := cluster.Sound(record, len(requests), minRequests); err != nil {
+		return 0, err
+	}
+	return judge(record, requests, cluster.Ran())
 }
 
 func between(low, high int) time.Duration {
@@ -128,7 +133,7 @@
 }
 
 // judge writes the record and decides.
-func judge(record *rig.Record, requests []*rig.Request, ran map[string][]rig.Attempt) int {
+func judge(record *rig.Record, requests []*rig.Request, ran map[string][]rig.Attempt) (int, error) {
 	record.Requests(requests, ran)
 	counts := map[string]int{}
 	foreign, seconds, twice := 0, 0, 0
@@ -156,8 +161,11 @@
 		seconds)
 	record.Printf("%s", result)
 	fmt.Println(result)
-	if foreign > 0 || twice > 0 {
-		return rig.Broken
+	switch {
+	case rig.Trouble() && seconds < minSeconds:
+		return 0, fmt.Errorf("%d second answers, want %d at least", seconds, minSeconds)
+	case foreign > 0 || twice > 0:
+		return rig.Broken, nil
 	}
-	return rig.Held
+	return rig.Held, nil
 }
