upstream: input before a command never becomes its reply

Cause: release and Start of upstream.Pool asked only the socket for unread input. An unfinished second reply had left the socket and stood in the reading goroutine's FrameBuffer; the next reply was appended to it.

Change: sockets.ReplyReader lets reads of the socket and the beginning of a request exclude each other. Input that is read while no reply is expected makes the connection unusable at its first byte. The pool asks before it assigns an attempt, the writer again just before the first byte. So the bytes of a reply are always read after its command has begun.

--- a/internal/sockets/transient.go
+++ b/internal/sockets/transient.go
@@ -1,5 +1,5 @@
-// Package sockets distinguishes transient errors of reads and writes from those that end a connection, and retries writes after
-// transient ones.
+// Package sockets distinguishes transient errors of reads and writes from those that end a connection, retries writes after
+// transient ones, and tells the replies to requests from input that belongs to none.
 package sockets
 
 import (
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"lemontack/internal/resp"
@@ -31,7 +29,7 @@
 
 	// Set before the Connected event is posted.
 	netConn net.Conn
-	rawConn syscall.RawConn // nil if the connection is not a TCP connection
+	replies *sockets.ReplyReader
 
 	// writeMu is held from before a command's first byte is written until writtenAttempt is set, so that a reply is matched with
 	// the command that it answers.
@@ -65,10 +63,7 @@
 		post(Disconnected{connection: c})
 		return
 	}
-	c.netConn = netConn
-	if tcp, ok := netConn.(*net.TCPConn); ok {
-		c.rawConn, _ = tcp.SyscallConn()
-	}
+	c.setNetConn(netConn)
 	stopCloseOnCancel := context.AfterFunc(ctx, func() { netConn.Close() })
 	defer stopCloseOnCancel()
 	writerDone := make(chan struct{})
@@ -84,8 +79,13 @@
 	post(Disconnected{connection: c, wasConnected: true})
 }
 
-// read posts replies until the connection ends or must not be reused. A connection with further bytes after a reply is not
-// reused, because they may be a duplicate that would be taken for the reply to the next command.
+// setNetConn sets the open connection.
+func (c *connection) setNetConn(netConn net.Conn) {
+	c.netConn, c.replies = netConn, sockets.NewReplyReader(netConn)
+}
+
+// read posts replies until the connection ends or must not be reused. A connection with input beyond a reply is not reused,
+// because it may be the beginning of a duplicate that would be taken for the reply to the next command.
 func (c *connection) read(post func(Event)) {
 	buffer := resp.FrameBuffer{Budget: c.replyMemory}
 	defer buffer.Close()
@@ -97,7 +97,9 @@
 		}
 		if frame != nil {
 			reply := parseReply(frame)
-			reply.reusable = reply.reusable && !buffer.HasPartialFrame()
+			if c.replies.Received(len(buffer.Buffered())) != nil {
+				reply.reusable = false
+			}
 			post(ReplyReceived{c, c.lastWrittenAttempt(), reply})
 			if !reply.reusable {
 				return
@@ -105,7 +107,7 @@
 			continue
 		}
 		hasDeadline = c.updateReplyDeadline(hasDeadline, buffer.HasPartialFrame())
-		if err := buffer.Fill(c.netConn.Read); sockets.IsTransient(err) {
+		if err := buffer.Fill(c.replies.Read); sockets.IsTransient(err) {
 			time.Sleep(sockets.TransientErrorPause)
 		} else if err != nil {
 			return
@@ -132,20 +134,6 @@
 	return c.writtenAttempt.Load()
 }
 
-// isOpenWithoutUnreadData reports whether the connection is open and has no unread data. It returns true if the connection
-// gives no access to its socket.
-func (c *connection) isOpenWithoutUnreadData() bool {
-	if c.rawConn == nil {
-		return true
-	}
-	var b [1]byte
-	var peekErr error
-	err := c.rawConn.Control(func(fd uintptr) {
-		_, _, peekErr = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	return err == nil && errors.Is(peekErr, syscall.EAGAIN)
-}
-
 // write writes the assigned attempts until reading has ended, a write fails, or an attempt has been abandoned.
 func (c *connection) write() {
 	for {
@@ -166,10 +154,14 @@
 
 // writeAttempt writes one attempt and reports whether the connection can be used for another.
 func (c *connection) writeAttempt(assigned assignment) bool {
-	// The command may have been abandoned since its assignment. Without a written byte it is certain not to be executed.
+	// Since the assignment the command may have been abandoned, and the connection may have become unusable. Without a written
+	// byte the command is certain not to be executed.
 	if assigned.attempt.command.Abandoned() {
 		return false
 	}
+	if c.replies.Expect(1) != nil {
+		return false
+	}
 	assigned.attempt.command.BeforeWrite(assigned.TimeLimit)
 	c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	c.writeMu.Lock()
--- a/internal/upstream/connection_test.go
+++ b/internal/upstream/connection_test.go
@@ -12,7 +12,7 @@
 	poolEnd, endpointEnd := net.Pipe()
 	defer endpointEnd.Close()
 	c := newConnection(pool.Endpoint("s0"), nil)
-	c.netConn = poolEnd
+	c.setNetConn(poolEnd)
 	for range 2 {
 		attempt, _ := newTestAttempt(pool, "s0")
 		pool.assign(c, attempt)
@@ -32,7 +32,7 @@
 			poolEnd, endpointEnd := net.Pipe()
 			attempt := NewAttempt(&Endpoint{}, &testCommand{})
 			conn := newConnection(attempt.endpoint, nil)
-			conn.netConn = poolEnd
+			conn.setNetConn(poolEnd)
 			conn.assignments <- assignment{attempt, EncodedCommand{Frame: []byte("123456789")}}
 			written := make(chan struct{})
 			go func() {
@@ -62,7 +62,7 @@
 			poolEnd, endpointEnd := net.Pipe()
 			endpoint := pool.Endpoint("s0")
 			c := newConnection(endpoint, nil)
-			c.netConn = poolEnd
+			c.setNetConn(poolEnd)
 			attempt, _ := newTestAttempt(pool, "s0")
 			pool.assign(c, attempt)
 			if received {
@@ -102,7 +102,7 @@
 	defer endpointEnd.Close()
 	attempt := NewAttempt(&Endpoint{}, &testCommand{abandoned: true})
 	conn := newConnection(attempt.endpoint, nil)
-	conn.netConn = poolEnd
+	conn.setNetConn(poolEnd)
 	conn.assignments <- assignment{attempt, EncodedCommand{Frame: []byte("123456789")}}
 	conn.write()
 	if n, err := endpointEnd.Read(make([]byte, 1)); n != 0 || err != io.EOF {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -52,7 +52,7 @@
 	for n := len(endpoint.idleConnections); n > 0; n = len(endpoint.idleConnections) {
 		c := endpoint.idleConnections[n-1]
 		endpoint.idleConnections = endpoint.idleConnections[:n-1]
-		if !pool.isStale(c) && c.isOpenWithoutUnreadData() {
+		if !pool.isStale(c) && c.replies.IsOpenWithoutInput() {
 			pool.assign(c, attempt)
 			return
 		}
@@ -187,7 +187,7 @@
 // connections. It closes a connection that cannot be reused.
 func (pool *Pool) release(c *connection) {
 	endpoint := c.endpoint
-	if c.disconnected || c.address != endpoint.address || endpoint.State == policy.Removed || !c.isOpenWithoutUnreadData() {
+	if c.disconnected || c.address != endpoint.address || endpoint.State == policy.Removed || !c.replies.IsOpenWithoutInput() {
 		c.netConn.Close()
 		return
 	}
