counterclient: input before a call never becomes its answer

What callers got: a call of the counter could get the total of a line that had come before it, and each later one that of the call before, so that the quota decided by a wrong total.

Cause: readAnswers matched each line with the oldest pending call, whether the line had come before or after the call was written.

Change: the session reads through sockets.ReplyReader, which ends it at the first byte that comes while no call is pending, and a batch is written only if nothing has arrived before. A call that is not written for this reason ends as ConnectFailed.

TestInputBeforeACallIsNotItsAnswer before: part of an answer failed in ten of ten runs (total 12 in place of 7), one byte in ten of ten (a malformed answer), a whole answer in two of ten. Now it passes, 20 runs with the race detector. The wait for the bytes of the test moves to nettest, where both packages use it.

--- a/internal/architecture/imports_test.go
+++ b/internal/architecture/imports_test.go
@@ -31,7 +31,7 @@
 	"internal/ingress": {"internal/counterclient", "internal/discovery", "internal/listener", "internal/minheap",
 		"internal/resp", "internal/stall", "internal/subset", "internal/telemetry", "internal/upstream",
 		"internal/wire", "policy"},
-	"internal/counterclient": {"internal/mailbox", "policy"},
+	"internal/counterclient": {"internal/mailbox", "internal/sockets", "policy"},
 	"internal/discovery":     {"internal/mailbox", "internal/subset", "policy"},
 	"internal/listener": {"internal/resp", "internal/sockets", "internal/stall", "internal/telemetry",
 		"policy"},
--- a/internal/counterclient/client_test.go
+++ b/internal/counterclient/client_test.go
@@ -104,6 +104,52 @@
 	}
 }
 
+// Input that the counter sends while no call is pending must not become part of the answer to the next call, or be that answer.
+func TestInputBeforeACallIsNotItsAnswer(t *testing.T) {
+	for name, unsolicited := range map[string]struct{ beginning, rest string }{
+		"part of an answer": {"ok 12", "\r\n"},
+		"whole answer":      {"ok 12\r\n", ""},
+		"one byte":          {"o", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			firstAnswered, begin, begun := make(chan struct{}), make(chan struct{}), make(chan net.Conn)
+			var laterCalls atomic.Int32 // calls after the first that the counter has received
+			c, results := startConnection(t, func(conn net.Conn, lines *bufio.Reader) {
+				for rest := ""; ; {
+					line, err := lines.ReadString('\n')
+					if err != nil {
+						return
+					}
+					if strings.HasPrefix(line, "tally a") {
+						io.WriteString(conn, "ok 1\r\n")
+						close(firstAnswered)
+						<-begin
+						io.WriteString(conn, unsolicited.beginning)
+						begun <- conn
+						rest = unsolicited.rest
+						continue
+					}
+					laterCalls.Add(1)
+					io.WriteString(conn, rest+"ok 7\r\n")
+				}
+			})
+			c.queue <- newCall("a")
+			<-results
+			<-firstAnswered
+			close(begin)
+			nettest.AwaitDelivery(t, <-begun)
+			result := Result{Outcome: policy.ConnectFailed}
+			for result.Outcome == policy.ConnectFailed { // a call that was not written, because its connection was closed
+				c.queue <- newCall("b")
+				result = <-results
+			}
+			if calls := laterCalls.Load(); result.Outcome != policy.Succeeded || result.Total != 7 || calls != 1 {
+				t.Fatalf("got outcome %v, total %v after %d calls; want success and 7 after 1 call", result.Outcome, result.Total, calls)
+			}
+		})
+	}
+}
+
 func TestAppendCallWritesProtocolLine(t *testing.T) {
 	if got := string(appendCall(nil, policy.IncrementCounter{Name: "n", Delta: -2.5,
 		TTL: 4 * time.Second})); got != "tally n -2.5 4000\r\n" {
--- a/internal/counterclient/session.go
+++ b/internal/counterclient/session.go
@@ -7,6 +7,7 @@
 	"net"
 	"time"
 
+	"lemontack/internal/sockets"
 	"lemontack/policy"
 )
 
@@ -23,6 +24,7 @@
 type session struct {
 	*connection
 	socket       net.Conn
+	answers      *sockets.ReplyReader
 	pendingCalls chan *Call    // written calls without an answer, from the writer to the reader
 	allAnswered  chan struct{} // signals to the writer that no call is pending; capacity 1
 	readerDone   chan struct{} // closed when the reader has ended
@@ -36,6 +38,7 @@
 	return &session{
 		connection:   c,
 		socket:       socket,
+		answers:      sockets.NewReplyReader(socket),
 		pendingCalls: make(chan *Call, queueCapacity),
 		allAnswered:  make(chan struct{}, 1),
 		readerDone:   make(chan struct{}),
@@ -79,7 +82,8 @@
 	return batch
 }
 
-// write writes the calls of a batch that have not expired. A call is not written, and times out, if pendingCalls is full.
+// write writes the calls of a batch that have not expired. A call is not written, and times out, if pendingCalls is full. It returns
+// an error, and the session has to end, if the write fails or the counter has sent anything while no call was pending.
 func (s *session) write(batch []*Call) error {
 	if len(s.pendingCalls) == 0 {
 		s.setReadTimeout(true)
@@ -95,14 +99,22 @@
 		written = append(written, call)
 		s.pendingCalls <- call
 	}
-	s.socket.SetWriteDeadline(time.Now().Add(s.timeout))
-	n, err := s.socket.Write(s.buffer)
+	n, err := s.writeBuffer(len(written))
 	for i, call := range written {
 		call.notFullyWritten = s.callEnds[i] > n
 	}
 	return err
 }
 
+// writeBuffer writes the buffer, which holds the given number of calls, and returns the number of bytes written.
+func (s *session) writeBuffer(calls int) (int, error) {
+	if err := s.answers.Expect(calls); err != nil {
+		return 0, err
+	}
+	s.socket.SetWriteDeadline(time.Now().Add(s.timeout))
+	return s.socket.Write(s.buffer)
+}
+
 // nextCall returns the next call, or false if the session has to end. After an address change it first waits for the pending
 // calls, because the answers for a name have to arrive in the order of its calls.
 func (s *session) nextCall() (next *Call, isOpen bool) {
@@ -147,11 +159,12 @@
 }
 
 // readAnswers reads the answers and reports the results of their calls until the session fails. It returns after a malformed
-// answer: its call was counted, but later answers cannot be matched with their calls.
+// answer: its call was counted, but later answers cannot be matched with their calls. It also returns when the counter has sent
+// anything while no call is pending.
 func (s *session) readAnswers() {
-	answers := bufio.NewReaderSize(s.socket, readBufferSize)
+	input := bufio.NewReaderSize(s.answers, readBufferSize)
 	for {
-		line, err := s.readLine(answers)
+		line, err := s.readLine(input)
 		if len(s.pendingCalls) == 0 || err != nil && len(line) == 0 {
 			return
 		}
@@ -160,15 +173,15 @@
 			result.Outcome, result.Total = parseAnswer(string(line))
 			s.setReadTimeout(len(s.pendingCalls) > 0)
 		}
+		isUsable := s.answers.Received(input.Buffered()) == nil
 		s.reportResult(result)
 		if result.Outcome == policy.Failed {
 			return
 		}
-		if len(s.pendingCalls) > 0 {
-			continue
+		if len(s.pendingCalls) == 0 {
+			s.signalAllAnswered()
 		}
-		s.signalAllAnswered()
-		if answers.Buffered() > 0 { // an answer without a call
+		if !isUsable {
 			return
 		}
 	}
@@ -183,14 +196,14 @@
 
 // readLine reads one answer. Once part of it has been received, the rest has to arrive within lineTimeout, so that the calls
 // after it do not wait for an answer that never ends.
-func (s *session) readLine(answers *bufio.Reader) ([]byte, error) {
-	if _, err := answers.Peek(1); err != nil {
+func (s *session) readLine(input *bufio.Reader) ([]byte, error) {
+	if _, err := input.Peek(1); err != nil {
 		return nil, err
 	}
-	if received, _ := answers.Peek(answers.Buffered()); bytes.IndexByte(received, '\n') < 0 {
+	if received, _ := input.Peek(input.Buffered()); bytes.IndexByte(received, '\n') < 0 {
 		s.socket.SetReadDeadline(time.Now().Add(lineTimeout))
 	}
-	return answers.ReadSlice('\n')
+	return input.ReadSlice('\n')
 }
 
 // setReadTimeout sets the maximum time without input from the counter: maxSilentTimeouts call timeouts while calls are pending,
--- a/internal/upstream/unsolicited_test.go
+++ b/internal/upstream/unsolicited_test.go
@@ -4,9 +4,7 @@
 	"fmt"
 	"io"
 	"net"
-	"syscall"
 	"testing"
-	"unsafe"
 
 	"github.com/tidwall/redcon"
 
@@ -19,32 +17,6 @@
 	return fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", len(value), value)
 }
 
-// queueLength returns the result of an ioctl request of the kernel for the length of a socket's queue, in bytes, or 0 if the
-// connection is closed.
-func queueLength(t *testing.T, conn net.Conn, request uintptr) int32 {
-	t.Helper()
-	raw, err := conn.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		t.Fatal(err)
-	}
-	var length int32
-	raw.Control(func(fd uintptr) {
-		if _, _, errno := syscall.Syscall(syscall.SYS_IOCTL, fd, request, uintptr(unsafe.Pointer(&length))); errno != 0 {
-			t.Errorf("ioctl %#x: %v", request, errno)
-		}
-	})
-	return length
-}
-
-// awaitRead waits until all that sender has written has been read from receiver, the other end of its connection, or until
-// receiver is closed.
-func awaitRead(t *testing.T, sender, receiver net.Conn) {
-	t.Helper()
-	nettest.Eventually(t, "the receiver has read all input", func() bool {
-		return queueLength(t, sender, syscall.TIOCOUTQ) == 0 && queueLength(t, receiver, syscall.TIOCINQ) == 0
-	})
-}
-
 // secondReplyEndpoint serves commands, each with a value of its own, and writes a second reply behind the first one when it is
 // told to.
 type secondReplyEndpoint struct {
@@ -105,7 +77,7 @@
 					loop.advance(reuseDelay)
 				}
 				endpoint.begin <- struct{}{}
-				awaitRead(t, <-endpoint.begun, first.connection.netConn)
+				nettest.AwaitRead(t, <-endpoint.begun, first.connection.netConn)
 				loop.advance(reuseDelay)
 				next, nextCommand := newTestAttempt(pool, "s0")
 				result := runToEnd(pool, loop, next, nextCommand)
