--- a/internal/ingress/gateway.go
+++ b/internal/ingress/gateway.go
@@ -109,6 +109,8 @@
 		ConnectTimeout: g.cfg.Connections.ConnectTimeout,
 		IdleTimeout:    g.cfg.Connections.IdleTimeout,
 		ReplyMemory:    resp.NewMemoryBudget(g.cfg.memoryShare()),
+
+		OnUnsolicitedInput: g.observer.unsolicitedInput,
 	})
 }
 
--- a/internal/ingress/observe.go
+++ b/internal/ingress/observe.go
@@ -29,6 +29,7 @@
 	clients         *listener.Counters // faults and closes of client connections
 	attemptOutcomes *telemetry.Counters[policy.Outcome]
 	stalls          atomic.Int64 // number of stalls of the process
+	unsolicited     atomic.Int64 // number of connections closed because their endpoint sent input that belongs to no command
 	violations      *telemetry.Counters[invariant]
 	logLimiter      *telemetry.LogLimiter // limits warnings and errors on single requests, stalls and accept errors
 }
@@ -64,7 +65,15 @@
 
 func (o *observer) logCounters(message string) {
 	o.log.Info(message, "requests", o.requests, "attempts", o.attemptOutcomes, "faults", o.clients.Faults, "closes", o.clients.Closes,
-		"stalls", o.stalls.Load(), "violations", o.violations)
+		"stalls", o.stalls.Load(), "unsolicited", o.unsolicited.Load(), "violations", o.violations)
+}
+
+// unsolicitedInput counts and logs a connection that was closed because its endpoint sent input that belongs to no command.
+func (o *observer) unsolicitedInput(endpoint policy.EndpointID) {
+	o.unsolicited.Add(1)
+	if o.debugEnabled {
+		o.log.Debug("endpoint sent unsolicited input", "endpoint", endpoint)
+	}
 }
 
 // processStalled counts and logs a stall of the process.
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -72,11 +73,11 @@
 		c.write()
 	}()
 	post(Connected{c})
-	c.read(post)
+	err = c.read(post)
 	netConn.Close()
 	close(c.readerDone)
 	<-writerDone
-	post(Disconnected{connection: c, wasConnected: true})
+	post(Disconnected{connection: c, wasConnected: true, hadUnsolicitedInput: errors.Is(err, sockets.ErrUnusable)})
 }
 
 // setNetConn sets the open connection.
@@ -85,24 +86,24 @@
 }
 
 // read posts replies until the connection ends or must not be reused. A connection with input beyond a reply is not reused,
-// because it may be the beginning of a duplicate that would be taken for the reply to the next command.
-func (c *connection) read(post func(Event)) {
+// because it may be the beginning of a duplicate that would be taken for the reply to the next command. The error is
+// sockets.ErrUnusable after such input, and nil after a reply of unknown form.
+func (c *connection) read(post func(Event)) error {
 	buffer := resp.FrameBuffer{Budget: c.replyMemory}
 	defer buffer.Close()
 	hasDeadline := false
 	for {
 		frame, err := buffer.Next()
 		if err != nil {
-			return
+			return err
 		}
 		if frame != nil {
 			reply := parseReply(frame)
-			if c.replies.Received(len(buffer.Buffered())) != nil {
-				reply.reusable = false
-			}
+			unusable := c.replies.Received(len(buffer.Buffered()))
+			reply.reusable = reply.reusable && unusable == nil
 			post(ReplyReceived{c, c.lastWrittenAttempt(), reply})
 			if !reply.reusable {
-				return
+				return unusable
 			}
 			continue
 		}
@@ -110,7 +111,7 @@
 		if err := buffer.Fill(c.replies.Read); sockets.IsTransient(err) {
 			time.Sleep(sockets.TransientErrorPause)
 		} else if err != nil {
-			return
+			return err
 		}
 	}
 }
--- a/internal/upstream/events.go
+++ b/internal/upstream/events.go
@@ -21,8 +21,9 @@
 
 // Disconnected reports the end of a connection or a failed dial. It is the last event of a connection.
 type Disconnected struct {
-	connection   *connection
-	wasConnected bool // false if the connection could not be opened
+	connection          *connection
+	wasConnected        bool // false if the connection could not be opened
+	hadUnsolicitedInput bool // the connection was closed because the endpoint sent input that belongs to no command
 }
 
 func (event Connected) apply(pool *Pool) {
@@ -58,6 +59,9 @@
 	endpoint.connectionCount--
 	pool.connectionCount--
 	endpoint.removeIdle(c)
+	if event.hadUnsolicitedInput {
+		pool.config.OnUnsolicitedInput(endpoint.ID)
+	}
 	if event.wasConnected {
 		c.endCurrentAttempt()
 	} else {
--- a/internal/upstream/fixtures_test.go
+++ b/internal/upstream/fixtures_test.go
@@ -61,6 +61,8 @@
 	now    time.Duration
 	timers []testTimer
 	events chan Event
+
+	unsolicitedInputs int // number of calls of Config.OnUnsolicitedInput
 }
 
 type testTimer struct {
@@ -106,7 +108,10 @@
 			case <-stopped:
 			}
 		},
-		Go:             func(run func(context.Context)) { running.Go(func() { run(ctx) }) },
+		Go: func(run func(context.Context)) { running.Go(func() { run(ctx) }) },
+
+		OnUnsolicitedInput: func(policy.EndpointID) { loop.unsolicitedInputs++ },
+
 		MaxConnections: 96,
 		ConnectTimeout: testConnectTimeout,
 		IdleTimeout:    testIdleTimeout,
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -22,6 +22,10 @@
 	Post  func(Event)                     // passes an event to HandleEvent; safe for concurrent use
 	Go    func(run func(context.Context)) // starts a goroutine that is cancelled and awaited when the loop ends
 
+	// OnUnsolicitedInput is called on the loop's goroutine when a connection has ended because its endpoint sent input that belongs
+	// to no command.
+	OnUnsolicitedInput func(policy.EndpointID)
+
 	MaxConnections int // limit for all endpoints together
 	ConnectTimeout time.Duration
 	IdleTimeout    time.Duration      // time after which the endpoints close an idle connection
--- a/internal/upstream/unsolicited_test.go
+++ b/internal/upstream/unsolicited_test.go
@@ -85,6 +85,9 @@
 					t.Fatalf("got outcome %v, value %q of the second command; want success and %q", result.Outcome,
 						result.Value, "value 2")
 				}
+				for loop.unsolicitedInputs == 0 { // the event of the connection's end may come later than the second reply
+					pool.HandleEvent(<-loop.events)
+				}
 			})
 		}
 	}
