Comments: reasons and numbers that the wording of the code had dropped

Back are what a maintainer needs and what still holds: how far lists of 1,024 endpoints are uneven, why a round of samples may end early, what the retry budget and the ticks amount to, why an attempt is not slow before three means, and eight more. No code is changed.

--- a/internal/discovery/cache.go
+++ b/internal/discovery/cache.go
@@ -10,7 +10,9 @@
 )
 
 // Sizes of the cache, in endpoints. A gateway caches the whole of a list of up to targetCacheSize endpoints. If a cache
-// of the target size would leave too few gateways for each endpoint, the cache is larger, up to maxCacheSize.
+// of the target size would leave too few gateways for each endpoint, the cache is larger, up to maxCacheSize. With 1,024 of
+// 200,000 endpoints at each of 6,400 gateways, the busiest endpoint carries less than 1.5 times the mean (see
+// internal/subsetcompare).
 const (
 	targetCacheSize = 1024
 	maxCacheSize    = 4096
--- a/internal/ingress/observe.go
+++ b/internal/ingress/observe.go
@@ -12,7 +12,9 @@
 )
 
 const (
-	countersInterval = 10 * time.Second // time between two log records of the counters
+	// countersInterval is the time between two log records of the counters: short enough to show a trend, and long enough to keep
+	// the log short.
+	countersInterval = 10 * time.Second
 
 	// maxLogRecordsPerPeriod is the maximum number of log records on single requests, stalls and accept errors in each
 	// logLimitPeriod, because a fault may affect all requests.
--- a/internal/ingress/requests.go
+++ b/internal/ingress/requests.go
@@ -36,7 +36,8 @@
 		maxCommandBytes: maxCommandBytes}
 }
 
-// hasCapacity reports whether a request whose command has size bytes can be added within the limits of requests and memory.
+// hasCapacity reports whether a request whose command has size bytes can be added within the limits of requests and memory. The
+// commands of many clients with large bodies would otherwise fill the memory.
 func (t *requestTable) hasCapacity(size int) bool {
 	return len(t.open) < t.maxOpen && t.commandBytes+size <= t.maxCommandBytes
 }
--- a/internal/listener/parse.go
+++ b/internal/listener/parse.go
@@ -15,10 +15,11 @@
 	maxKeyLength = 256
 	// customerNumberLimit is one more than the greatest customer number.
 	customerNumberLimit = 1 << 33
-	// answerMargin is the time reserved for an answer to reach the client before its timeout. It is limited to a quarter of the
-	// timeout.
+	// answerMargin is the time reserved for an answer to reach the client before its timeout, also on a busy machine. It is limited
+	// to a quarter of the timeout.
 	answerMargin = 20 * time.Millisecond
-	// maxTimeoutFactor is the maximum timeout of a request, as a multiple of the deadline of its class.
+	// maxTimeoutFactor is the maximum timeout of a request, as a multiple of the deadline of its class. A client that claims to
+	// wait for longer, or forever, is not believed.
 	maxTimeoutFactor = 2
 )
 
--- a/internal/tools/knownred/list.go
+++ b/internal/tools/knownred/list.go
@@ -7,7 +7,7 @@
 
 const (
 	listFile         = "KNOWN-RED.txt"
-	maxKnownFailures = 3 // maximum number of tests in the list
+	maxKnownFailures = 3 // maximum number of tests in the list, so that it remains an exception
 )
 
 // knownFailure is an entry of the list: a test that fails for a known cause.
--- a/internal/upstream/events.go
+++ b/internal/upstream/events.go
@@ -37,7 +37,9 @@
 	c := event.connection
 	attempt := c.currentAttempt
 	c.endpoint.lastActivityAt = pool.config.Now()
-	if attempt == nil || event.writtenAttempt != attempt { // the reply does not belong to a written command
+	// A reply that does not belong to a written command shows that the order of replies is lost: later ones could not be matched
+	// with their commands either.
+	if attempt == nil || event.writtenAttempt != attempt {
 		c.netConn.Close()
 		return
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -197,7 +197,8 @@
 	}
 	for len(endpoint.waitingAttempts) > 0 {
 		attempt := endpoint.popWaiting()
-		// Since the attempt began to wait, the endpoint may have begun to drain, and the request may have finished.
+		// Since the attempt began to wait, the endpoint may have begun to drain, and the request may have finished. A drain counts
+		// from its notification, whether or not attempts wait.
 		if endpoint.State == policy.Serving && attempt.command.MayStart() {
 			pool.assign(c, attempt)
 			return
--- a/policy/balancer/outlier.go
+++ b/policy/balancer/outlier.go
@@ -26,7 +26,7 @@
 	maxEjectionDoublings = 4
 
 	// overdueMeanMultiple is the number of mean latencies after which an attempt in flight indicates a slow
-	// endpoint.
+	// endpoint. Below it the latencies of most classes are spread too widely around their mean.
 	overdueMeanMultiple = 3
 )
 
--- a/policy/gateway.go
+++ b/policy/gateway.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// ticksPerObjective is the number of ticks in the shortest latency objective. It bounds how late a
-	// waiting request is checked.
+	// ticksPerObjective is the number of ticks in the shortest latency objective. A waiting request is
+	// checked late by 2% of its objective at most.
 	ticksPerObjective = 50
 	// minTickInterval limits the CPU time that ticks use.
 	minTickInterval = time.Millisecond
--- a/policy/latency/latency.go
+++ b/policy/latency/latency.go
@@ -13,7 +13,7 @@
 
 const (
 	overallGain = 0.05 // weight of one answer in the mean over all classes
-	classGain   = 0.02 // weight of one answer in the estimate of its class
+	classGain   = 0.02 // weight of one answer in the estimate of its class, of which fewer answers are seen
 
 	initialDeviationShare = 0.5 // mean deviation after the first answer, as a share of its latency
 )
--- a/policy/limiter/limiter.go
+++ b/policy/limiter/limiter.go
@@ -28,7 +28,8 @@
 	// minRoundSamples is the number of samples that a round needs to end, so that its late share is
 	// significant.
 	minRoundSamples = 8
-	// minLateRoundSamples is the number of late samples with which a round may end earlier.
+	// minLateRoundSamples is the number of late samples with which a round may end earlier, so that the
+	// window reacts soon.
 	minLateRoundSamples = 3
 	// lateObjectiveDivisor divides the latency objective into the latency above which an answer is late:
 	// the window has to decrease before the objective is missed.
--- a/policy/retrybudget.go
+++ b/policy/retrybudget.go
@@ -1,7 +1,8 @@
 package policy
 
 // retryBudgetRatio is the share of a retry or hedge that each first attempt adds to the budget, and so the
-// largest lasting load of retries and hedges, relative to that of first attempts.
+// largest lasting load of retries and hedges, relative to that of first attempts: with all of the budget
+// spent they raise the load by 15%.
 const retryBudgetRatio = 0.15
 
 // retryBudget is the number of retries and hedges that may start. First attempts add to it, which limits
