--- a/internal/upstream/connection_test.go
+++ b/internal/upstream/connection_test.go
@@ -2,22 +2,18 @@
 
 import (
 	"io"
-	"net"
 	"testing"
 )
 
 // Assigning an attempt to a connection whose queue is full closes the connection and does not block the event loop.
 func TestConnectionWithFullQueueIsClosedWithoutBlocking(t *testing.T) {
 	pool, _ := newTestPool(t, nil, startEndpoint(t, nil).address)
-	poolEnd, endpointEnd := net.Pipe()
-	defer endpointEnd.Close()
-	c := newConnection(pool.Endpoint("s0"), nil)
-	c.setNetConn(poolEnd)
+	c, _ := newPipeConnection(t, pool.Endpoint("s0"))
 	for range 2 {
 		attempt, _ := newTestAttempt(pool, "s0")
 		pool.assign(c, attempt)
 	}
-	if _, err := poolEnd.Write(nil); err == nil {
+	if _, err := c.netConn.Write(nil); err == nil {
 		t.Fatal("the connection is open, want it closed")
 	}
 }
@@ -29,10 +25,8 @@
 		isWritten bool
 	}{"partial": {3, false}, "complete": {9, true}} {
 		t.Run(name, func(t *testing.T) {
-			poolEnd, endpointEnd := net.Pipe()
 			attempt := NewAttempt(&Endpoint{}, &testCommand{})
-			conn := newConnection(attempt.endpoint, nil)
-			conn.setNetConn(poolEnd)
+			conn, endpointEnd := newPipeConnection(t, attempt.endpoint)
 			conn.assignments <- assignment{attempt, EncodedCommand{Frame: []byte("123456789")}}
 			written := make(chan struct{})
 			go func() {
@@ -59,10 +53,8 @@
 	for name, received := range map[string]bool{"assigned": false, "received": true} {
 		t.Run(name, func(t *testing.T) {
 			pool, _ := newTestPool(t, nil, startEndpoint(t, nil).address)
-			poolEnd, endpointEnd := net.Pipe()
 			endpoint := pool.Endpoint("s0")
-			c := newConnection(endpoint, nil)
-			c.setNetConn(poolEnd)
+			c, endpointEnd := newPipeConnection(t, endpoint)
 			attempt, _ := newTestAttempt(pool, "s0")
 			pool.assign(c, attempt)
 			if received {
@@ -91,18 +83,14 @@
 			}
 			close(c.readerDone)
 			<-written
-			endpointEnd.Close()
 		})
 	}
 }
 
 // A command that is abandoned before its first byte is not written, and its connection is closed.
 func TestAbandonedCommandIsNotWritten(t *testing.T) {
-	poolEnd, endpointEnd := net.Pipe()
-	defer endpointEnd.Close()
 	attempt := NewAttempt(&Endpoint{}, &testCommand{abandoned: true})
-	conn := newConnection(attempt.endpoint, nil)
-	conn.setNetConn(poolEnd)
+	conn, endpointEnd := newPipeConnection(t, attempt.endpoint)
 	conn.assignments <- assignment{attempt, EncodedCommand{Frame: []byte("123456789")}}
 	conn.write()
 	if n, err := endpointEnd.Read(make([]byte, 1)); n != 0 || err != io.EOF {
--- a/internal/upstream/fixtures_test.go
+++ b/internal/upstream/fixtures_test.go
@@ -163,3 +163,14 @@
 	command := &testCommand{}
 	return NewAttempt(pool.Endpoint(id), command), command
 }
+
+// newPipeConnection returns an open connection whose goroutines do not run, and the endpoint's end of it. The endpoint's end is
+// closed at the end of the test.
+func newPipeConnection(t *testing.T, endpoint *Endpoint) (c *connection, endpointEnd net.Conn) {
+	t.Helper()
+	poolEnd, endpointEnd := net.Pipe()
+	t.Cleanup(func() { endpointEnd.Close() })
+	c = newConnection(endpoint, nil)
+	c.setNetConn(poolEnd)
+	return c, endpointEnd
+}
--- a/internal/upstream/unsolicited_test.go
+++ b/internal/upstream/unsolicited_test.go
@@ -105,10 +105,8 @@
 // A command is not written to a connection that has received input between the assignment and the write: the input would be
 // taken for its reply.
 func TestCommandIsNotWrittenAfterUnsolicitedInput(t *testing.T) {
-	poolEnd, endpointEnd := net.Pipe()
 	attempt := NewAttempt(&Endpoint{}, &testCommand{})
-	conn := newConnection(attempt.endpoint, nil)
-	conn.setNetConn(poolEnd)
+	conn, endpointEnd := newPipeConnection(t, attempt.endpoint)
 	conn.assignments <- assignment{attempt, EncodedCommand{Frame: []byte("123456789")}}
 	readEnded := make(chan struct{})
 	go func() {
