--- a/internal/sockets/replyreader.go
+++ b/internal/sockets/replyreader.go
@@ -13,8 +13,9 @@
 var ErrUnusable = errors.New("connection has ended or has input that belongs to no request")
 
 // ReplyReader reads the replies to the requests that are written to a connection, and detects input that belongs to none of
-// them. For this it orders reads and requests: the bytes of one Read have either arrived after a request, or they make the connection
-// unusable. Read and Received are called by one goroutine; the other methods are safe for concurrent use.
+// them. For this it orders the reads of the socket and the calls of Expect. Input that is read before a request is expected makes the
+// connection unusable, even if it is only the beginning of a reply. Read and Received are called by one goroutine; the other methods
+// are safe for concurrent use.
 type ReplyReader struct {
 	conn    net.Conn
 	rawConn syscall.RawConn // nil if the connection gives no access to its socket
--- a/policy/balancer/outlier.go
+++ b/policy/balancer/outlier.go
@@ -26,7 +26,7 @@
 	maxEjectionDoublings = 4
 
 	// overdueMeanMultiple is the number of mean latencies after which an attempt in flight indicates a slow
-	// endpoint. Below it the latencies of most classes are spread too widely around their mean.
+	// endpoint. Most latencies are spread widely around their mean, so that a lower multiple would be common.
 	overdueMeanMultiple = 3
 )
 
