sockets, upstream: one check for input less for each request, and no allocations

The writer's check before the first byte had added a system call to each attempt, and the reads an allocation. A connection that goes idle is not checked any more: Start checks it when it is assigned, and the reader ends it if anything comes.

--- a/internal/sockets/replyreader.go
+++ b/internal/sockets/replyreader.go
@@ -23,11 +23,17 @@
 	mu       sync.Mutex // held during each read of the socket
 	expected int        // replies that have been expected and not received
 	unusable bool       // input has arrived while no reply was expected
+	peekByte [1]byte    // buffer of peekSocket
+	peekErr  error      // result of peekSocket
 
 	// Arguments and results of readSocket, used only by the goroutine that calls Read.
 	buffer    []byte
 	readCount int
 	readErr   error
+
+	// The methods of these names, which need no allocation for each call this way.
+	peekSocketFunc func(fd uintptr)
+	readSocketFunc func(fd uintptr) bool
 }
 
 // NewReplyReader returns a reader of the replies that arrive on conn, of which nothing has been read yet.
@@ -36,6 +42,7 @@
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		reader.rawConn, _ = tcp.SyscallConn()
 	}
+	reader.peekSocketFunc, reader.readSocketFunc = reader.peekSocket, reader.readSocket
 	return reader
 }
 
@@ -78,12 +85,13 @@
 	if reader.unusable || reader.rawConn == nil {
 		return !reader.unusable
 	}
-	var b [1]byte
-	var peekErr error
-	err := reader.rawConn.Control(func(fd uintptr) {
-		_, _, peekErr = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	return err == nil && errors.Is(peekErr, syscall.EAGAIN)
+	err := reader.rawConn.Control(reader.peekSocketFunc)
+	return err == nil && reader.peekErr == syscall.EAGAIN
+}
+
+// peekSocket sets peekErr to EAGAIN if the socket is open and has no unread input. The caller of Control holds the lock.
+func (reader *ReplyReader) peekSocket(fd uintptr) {
+	_, _, reader.peekErr = syscall.Recvfrom(int(fd), reader.peekByte[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 }
 
 // Read implements io.Reader. It returns ErrUnusable, and none of the input, if no reply is expected.
@@ -95,7 +103,7 @@
 		return reader.admit(n, err)
 	}
 	reader.buffer = b
-	if err := reader.rawConn.Read(reader.readSocket); err != nil {
+	if err := reader.rawConn.Read(reader.readSocketFunc); err != nil {
 		return 0, err
 	}
 	return reader.readCount, reader.readErr
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -188,10 +188,14 @@
 }
 
 // release assigns a connection without an attempt to the first waiting attempt that may start, or adds it to the idle
-// connections. It closes a connection that cannot be reused.
+// connections. It closes a connection that cannot be reused. Start checks an idle connection for input when it assigns it.
 func (pool *Pool) release(c *connection) {
 	endpoint := c.endpoint
-	if c.disconnected || c.address != endpoint.address || endpoint.State == policy.Removed || !c.replies.IsOpenWithoutInput() {
+	if c.disconnected || c.address != endpoint.address || endpoint.State == policy.Removed {
+		c.netConn.Close()
+		return
+	}
+	if len(endpoint.waitingAttempts) > 0 && !c.replies.IsOpenWithoutInput() {
 		c.netConn.Close()
 		return
 	}
