--- a/review/_standins-2/cases/crowd.go
+++ b/review/_standins-2/cases/crowd.go
@@ -4,12 +4,19 @@
 	"fmt"
 	"io"
 	"net"
-	"os"
-	"strconv"
-	"sync"
 	"time"
 )
 
+// The disruption and the load of the case "crowd".
+const (
+	crowdSockets  = 256                    // "256 to 1,024 descriptors"
+	crowdSilent   = 600                    // "others connect by hundreds and say nothing"
+	crowdGoodbye  = time.Second            // a silent client closes so long after the ingress has ended its connection
+	crowdRequests = 20                     // of usual clients, each on a new connection
+	crowdInterval = 50 * time.Millisecond  // between them
+	crowdWait     = 700 * time.Millisecond // "50 to 100% of the class's give-up time", which is 1 s
+)
+
 // lateAnswer is how long after its time a request may still get its final answer: half a second, and the 50 ms by which every
 // limit is longer on sockets.
 const lateAnswer = 550 * time.Millisecond
@@ -23,64 +30,84 @@
 	return reply{delay: delay, text: served("value of " + command[2])}
 }
 
+// runCrowd sends requests of usual clients to one ingress. With the trouble, many silent clients have connected just before.
 func runCrowd(rec *record, trouble bool) (*verdict, error) {
-	silent, stay := 500, os.Getenv("CLOSE") != "1"
-	if n, err := strconv.Atoi(os.Getenv("SILENT")); err == nil {
-		silent = n
-	}
-	w, err := newWorld(rec, deployment{ingresses: 2, backends: 8, memoryMB: 192, sockets: 256, answer: ordinaryAnswer})
+	w, err := newWorld(rec, deployment{ingresses: 2, backends: 8, memoryMB: 192, sockets: crowdSockets, answer: ordinaryAnswer})
 	if w != nil {
 		defer w.close()
 	}
 	if err != nil {
 		return nil, err
 	}
-	result := &verdict{}
 	time.Sleep(2500 * time.Millisecond)
 	address := w.nodes[0].listen
 	if trouble {
-		var waiting sync.WaitGroup
-		for range silent {
-			waiting.Add(1)
-			go func() {
-				conn, err := net.DialTimeout("tcp", address, 3*time.Second)
-				waiting.Done()
-				if err != nil {
-					rec.printf("silent client: %v", err)
-					return
-				}
-				io.Copy(io.Discard, conn)
-				if stay {
-					time.Sleep(10 * time.Second)
-				}
-				conn.Close()
-			}()
-		}
-		waiting.Wait()
-		rec.printf("%d silent clients have connected", silent)
+		connectSilent(rec, address)
 	}
+	var requests []*request
 	var conns []*clientConn
-	for i := range 20 {
+	for i := range crowdRequests {
 		c, err := dialClient(address, fmt.Sprintf("u%d", i), rec)
 		if err != nil {
-			rec.printf("client u%d: %v", i, err)
-			continue
+			return nil, err
 		}
-		class, wait := "unit-status", 700*time.Millisecond
-		r := newRequest(class, "full-cover", wait)
-		c.send(r, r.encode(uint64(0xb4d65521+i), 2, "unit 7"))
-		conns = append(conns, c)
-		time.Sleep(50 * time.Millisecond)
+		r := newRequest("unit-status", "full-cover", crowdWait)
+		c.send(r, r.encode(uint64(0xb4d65521+i), 2, ""))
+		requests, conns = append(requests, r), append(conns, c)
+		time.Sleep(crowdInterval)
 	}
-	time.Sleep(6 * time.Second)
-	for _, c := range conns {
-		c.mu.Lock()
-		for _, r := range c.done {
-			if took := r.answeredAt.Sub(r.sentAt); took > r.wait+lateAnswer {
-				result.addf("%s of client %s was answered %q after %d ms, d=%d", r.id, c.name, r.answer, took.Milliseconds(), r.wait.Milliseconds())
+	time.Sleep(8 * time.Second)
+	result := &verdict{}
+	for i, r := range requests {
+		judgeLate(result, w, conns[i], r)
+	}
+	return result, nil
+}
+
+// judgeLate adds a break if the request has got no final answer in time, unless its connection was shut unread.
+func judgeLate(result *verdict, w *world, c *clientConn, r *request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	limit := r.sentAt.Add(r.wait + lateAnswer)
+	ran := ""
+	for i, server := range w.servers {
+		for _, at := range server.runsOf(r.id) {
+			ran += fmt.Sprintf(", run by backend %d after %d ms", i, at.Sub(r.sentAt).Milliseconds())
+		}
+	}
+	switch {
+	case r.answer != "" && r.answeredAt.After(limit):
+		result.addf("%s d=%d was answered %s after %d ms%s", r.id, r.wait.Milliseconds(), r.answer,
+			r.answeredAt.Sub(r.sentAt).Milliseconds(), ran)
+	case r.answer == "" && c.endErr == nil:
+		result.addf("%s d=%d has no answer%s", r.id, r.wait.Milliseconds(), ran)
+	case r.answer == "" && ran == "":
+		w.record.printf("%s: the new connection was shut unread, which is allowed", r.id)
+	case r.answer == "":
+		result.addf("%s d=%d: its connection was ended without an answer%s", r.id, r.wait.Milliseconds(), ran)
+	}
+}
+
+// connectSilent connects the clients that say nothing. They read, and close some time after the ingress has ended their connections.
+func connectSilent(rec *record, address string) {
+	connected := make(chan error, crowdSilent)
+	for range crowdSilent {
+		go func() {
+			conn, err := net.DialTimeout("tcp", address, 3*time.Second)
+			connected <- err
+			if err != nil {
+				return
 			}
+			io.Copy(io.Discard, conn)
+			time.Sleep(crowdGoodbye)
+			conn.Close()
+		}()
+	}
+	failed := 0
+	for range crowdSilent {
+		if err := <-connected; err != nil {
+			failed++
 		}
-		c.mu.Unlock()
 	}
-	return result, nil
+	rec.printf("%d silent clients have connected, %d could not", crowdSilent-failed, failed)
 }
