--- a/review/_standins-2/cases/main.go
+++ b/review/_standins-2/cases/main.go
@@ -18,8 +18,9 @@
 }
 
 var cases = map[string]func(rec *record, trouble bool) (*verdict, error){
-	"crowd": runCrowd,
-	"order": runOrder,
+	"crowd":  runCrowd,
+	"order":  runOrder,
+	"window": runWindow,
 }
 
 func main() { os.Exit(run()) }
