--- a/review/_standins-2/cases/main.go
+++ b/review/_standins-2/cases/main.go
@@ -20,6 +20,7 @@
 var cases = map[string]func(rec *record, trouble bool) (*verdict, error){
 	"crowd":  runCrowd,
 	"order":  runOrder,
+	"stay":   runStay,
 	"window": runWindow,
 }
 
--- a/review/_standins-2/cases/order.go
+++ b/review/_standins-2/cases/order.go
@@ -20,7 +20,7 @@
 	orderHangAt    = 3 * time.Second        // from the first request
 	orderLoadEnds  = 9 * time.Second        // from the first request
 	orderMemoryMB  = 32                     // "32 to 192 MB"
-	crossing       = 250 * time.Millisecond // a request that was sent so shortly before the end may have crossed it
+	orderCrossing  = 250 * time.Millisecond // a request that was sent so shortly before the end may have crossed it
 )
 
 // runOrder sends requests on a few connections that read all the time. With the trouble, some backends hang, so that the answers
@@ -48,7 +48,7 @@
 		return nil, err
 	}
 	time.Sleep(3500 * time.Millisecond) // longer than the longest time of a request and half a second
-	return judgeUnanswered(w, conns), nil
+	return judgeUnanswered(w, conns, orderCrossing), nil
 }
 
 // sendOrderLoad sends the requests, in turn on each connection of the front, which opens a new one for each that has ended.
@@ -78,8 +78,9 @@
 	return conns, nil
 }
 
-// judgeUnanswered finds the requests that the ingress had taken and never answered.
-func judgeUnanswered(w *world, conns []*clientConn) *verdict {
+// judgeUnanswered finds the requests that the ingress had taken and never answered. A request that was sent at most crossing before
+// the end of its connection may have crossed it.
+func judgeUnanswered(w *world, conns []*clientConn, crossing time.Duration) *verdict {
 	result := &verdict{}
 	for _, c := range conns {
 		c.mu.Lock()
