--- a/review/_standins-2/cases/client.go
+++ b/review/_standins-2/cases/client.go
@@ -144,14 +144,11 @@
 	return line, string(text[:length]), nil
 }
 
-// hasEnded reports whether the ingress has ended the connection.
-func (c *clientConn) hasEnded() bool {
-	select {
-	case <-c.ended:
-		return true
-	default:
-		return false
-	}
+// isFree reports whether the connection is open and no request on it is.
+func (c *clientConn) isFree() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.endErr == nil && len(c.open) == 0
 }
 
 // close closes the client's side.
--- a/review/_standins-2/cases/order.go
+++ b/review/_standins-2/cases/order.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -13,7 +14,7 @@
 const (
 	orderBackends  = 10
 	orderHanging   = 5                      // of the backends: "a quarter to a half of the backends hang"
-	orderFronts    = 6                      // connections of the front, which carry requests of many customers
+	orderBurst     = 60                     // requests that a client sends at once
 	orderRate      = 140                    // requests a second at the ingress
 	orderLongShare = 50                     // of 100 answers are long
 	orderLongBytes = 60 << 10               // a value holds at most 64 KiB
@@ -23,7 +24,7 @@
 	orderCrossing  = 250 * time.Millisecond // a request that was sent so shortly before the end may have crossed it
 )
 
-// runOrder sends requests on a few connections that read all the time. With the trouble, some backends hang, so that the answers
+// runOrder sends bursts of requests on connections that read all the time. With the trouble, some backends hang, so that the answers
 // behind a callout that hangs have to wait for its own. All requests have to get their final answers.
 func runOrder(rec *record, trouble bool) (*verdict, error) {
 	var hanging atomic.Bool
@@ -51,29 +52,32 @@
 	return judgeUnanswered(w, conns, orderCrossing), nil
 }
 
-// sendOrderLoad sends the requests, in turn on each connection of the front, which opens a new one for each that has ended.
+// sendOrderLoad sends bursts of requests, each on a connection that isn't busy, and opens a new one where all are.
 func sendOrderLoad(w *world, trouble bool, hanging *atomic.Bool) (conns []*clientConn, err error) {
 	rng := rand.New(rand.NewPCG(1, 1))
-	current := make([]*clientConn, orderFronts)
 	start := time.Now()
-	for n := 0; time.Since(start) < orderLoadEnds; n++ {
+	for n := 0; time.Since(start) < orderLoadEnds; {
 		time.Sleep(time.Until(start.Add(time.Duration(n) * time.Second / orderRate)))
 		if trouble && !hanging.Load() && time.Since(start) > orderHangAt {
 			hanging.Store(true)
 			w.record.printf("%d of %d backends hang from now on", orderHanging, orderBackends)
 		}
-		i := n % orderFronts
-		if current[i] == nil || current[i].hasEnded() {
-			if current[i], err = dialClient(w.nodes[0].listen, fmt.Sprintf("f%d", len(conns)), w.record); err != nil {
+		i := slices.IndexFunc(conns, (*clientConn).isFree)
+		if i < 0 {
+			c, err := dialClient(w.nodes[0].listen, fmt.Sprintf("f%d", len(conns)), w.record)
+			if err != nil {
 				return nil, err
 			}
-			conns = append(conns, current[i])
+			i, conns = len(conns), append(conns, c)
 		}
-		r := newRequest("unit-status", "full-cover", time.Second)
-		if rng.Float64() < 0.48 {
-			r = newRequest("book-callout", "full-cover", 2500*time.Millisecond)
+		for range orderBurst {
+			r := newRequest("unit-status", "full-cover", time.Second)
+			if rng.Float64() < 0.48 {
+				r = newRequest("book-callout", "full-cover", 2500*time.Millisecond)
+			}
+			conns[i].send(r, r.encode(uint64(0xb4d65521+n%40), 2, "unit 7"))
+			n++
 		}
-		current[i].send(r, r.encode(uint64(0xb4d65521+n%40), 2, "unit 7"))
 	}
 	return conns, nil
 }
