Review case 6: customers who come once fill the memory; drops the case that review/2 shows

The case on answers that wait for an earlier one is the fault that review/2 shows already, so it is removed.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,4 @@
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$here/../.." || exit 2
 [ -x review/_standins-2/bin/cases ] || { echo "review/build-2.sh first"; exit 2; }
-exec review/_standins-2/bin/cases order "$here"
+exec review/_standins-2/bin/cases once "$here"
--- a/review/_standins-2/cases/client.go
+++ b/review/_standins-2/cases/client.go
@@ -144,11 +144,14 @@
 	return line, string(text[:length]), nil
 }
 
-// isFree reports whether the connection is open and no request on it is.
-func (c *clientConn) isFree() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.endErr == nil && len(c.open) == 0
+// hasEnded reports whether the ingress has ended the connection.
+func (c *clientConn) hasEnded() bool {
+	select {
+	case <-c.ended:
+		return true
+	default:
+		return false
+	}
 }
 
 // close closes the client's side.
--- a/review/_standins-2/cases/main.go
+++ b/review/_standins-2/cases/main.go
@@ -19,7 +19,7 @@
 
 var cases = map[string]func(rec *record, trouble bool) (*verdict, error){
 	"crowd":  runCrowd,
-	"order":  runOrder,
+	"once":   runOnce,
 	"stay":   runStay,
 	"window": runWindow,
 }
--- a/review/_standins-2/cases/stay.go
+++ b/review/_standins-2/cases/stay.go
@@ -83,3 +83,27 @@
 	}()
 	return nil
 }
+
+// judgeUnanswered finds the requests that the ingress had taken and never answered. A request that was sent at most crossing before
+// the end of its connection may have crossed it.
+func judgeUnanswered(w *world, conns []*clientConn, crossing time.Duration) *verdict {
+	result := &verdict{}
+	for _, c := range conns {
+		c.mu.Lock()
+		for _, r := range c.open {
+			ran := 0
+			for _, server := range w.servers {
+				ran += len(server.runsOf(r.id))
+			}
+			switch {
+			case c.endErr == nil:
+				result.addf("%s %s on %s never got an answer, attempts at backends: %d", r.class, r.id, c.name, ran)
+			case c.endedAt.Sub(r.sentAt) > crossing:
+				result.addf("%s %s on %s: the ingress ended the connection %d ms after the request, without its answer; attempts at backends: %d",
+					r.class, r.id, c.name, c.endedAt.Sub(r.sentAt).Milliseconds(), ran)
+			}
+		}
+		c.mu.Unlock()
+	}
+	return result
+}
