--- a/review/_standins-2/cases/crowd.go
+++ b/review/_standins-2/cases/crowd.go
@@ -11,7 +11,7 @@
 const (
 	crowdSockets  = 256                    // "256 to 1,024 descriptors"
 	crowdSilent   = 600                    // "others connect by hundreds and say nothing"
-	crowdGoodbye  = time.Second            // a silent client closes so long after the ingress has ended its connection
+	crowdGoodbye  = 300 * time.Millisecond // a silent client closes so long after the ingress has ended its connection
 	crowdRequests = 20                     // of usual clients, each on a new connection
 	crowdInterval = 50 * time.Millisecond  // between them
 	crowdWait     = 700 * time.Millisecond // "50 to 100% of the class's give-up time", which is 1 s
