--- a/review/_standins-2/cases/crowd.go
+++ b/review/_standins-2/cases/crowd.go
@@ -42,7 +42,9 @@
 	time.Sleep(2500 * time.Millisecond)
 	address := w.nodes[0].listen
 	if trouble {
-		connectSilent(rec, address)
+		if err := connectSilent(rec, address); err != nil {
+			return nil, err
+		}
 	}
 	var requests []*request
 	var conns []*clientConn
@@ -61,7 +63,7 @@
 	for i, r := range requests {
 		judgeLate(result, w, conns[i], r)
 	}
-	return result, nil
+	return result, w.checkAlive()
 }
 
 // judgeLate adds a break if the request has got no final answer in time, unless its connection was shut unread.
@@ -89,7 +91,7 @@
 }
 
 // connectSilent connects the clients that say nothing. They read, and close some time after the ingress has ended their connections.
-func connectSilent(rec *record, address string) {
+func connectSilent(rec *record, address string) error {
 	connected := make(chan error, crowdSilent)
 	for range crowdSilent {
 		go func() {
@@ -110,4 +112,8 @@
 		}
 	}
 	rec.printf("%d silent clients have connected, %d could not", crowdSilent-failed, failed)
+	if failed > 0 {
+		return fmt.Errorf("%w: %d silent clients could not connect", errCannotRun, failed)
+	}
+	return nil
 }
--- a/review/_standins-2/cases/main.go
+++ b/review/_standins-2/cases/main.go
@@ -6,7 +6,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"sync"
+	"syscall"
 	"time"
 )
 
@@ -24,7 +27,47 @@
 	"window": runWindow,
 }
 
-func main() { os.Exit(run()) }
+// started holds the processes that the case has started, for an end that comes early.
+var started processes
+
+type processes struct {
+	mu  sync.Mutex
+	all []*os.Process
+}
+
+func (p *processes) add(process *os.Process) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.all = append(p.all, process)
+}
+
+// endEarly ends all processes and this one, as a case that could not run.
+func (p *processes) endEarly(reason string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, process := range p.all {
+		process.Kill() // has no effect on one that has ended
+	}
+	fmt.Println("could not run:", reason)
+	os.Exit(2)
+}
+
+// longestRun is the time after which a case is given up.
+const longestRun = 118 * time.Second
+
+func main() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	go func() {
+		select {
+		case s := <-signals:
+			started.endEarly(s.String())
+		case <-time.After(longestRun):
+			started.endEarly("it took too long")
+		}
+	}()
+	os.Exit(run())
+}
 
 func run() int {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
--- a/review/_standins-2/cases/window.go
+++ b/review/_standins-2/cases/window.go
@@ -107,6 +107,7 @@
 	if err := command.Start(); err != nil {
 		return nil, err
 	}
+	started.add(command.Process)
 	defer command.Wait()
 	defer command.Process.Kill()
 	w := &wireWorld{record: rec, start: time.Now(), in: in, out: bufio.NewReaderSize(out, 1<<20), all: map[int]*wireRequest{},
--- a/review/_standins-2/cases/world.go
+++ b/review/_standins-2/cases/world.go
@@ -178,6 +178,7 @@
 		return err
 	}
 	n.command, n.exited = command, make(chan struct{})
+	started.add(command.Process)
 	exited := n.exited
 	n.world.record.printf("ingress %d started, pid %d, at %s", n.index, command.Process.Pid, n.listen)
 	go func() {
@@ -250,6 +251,16 @@
 	return strings.HasPrefix(string(buffer[:read]), "+PONG")
 }
 
+// checkAlive returns an error if an ingress has ended by itself.
+func (w *world) checkAlive() error {
+	for _, node := range w.nodes {
+		if !node.alive() {
+			return fmt.Errorf("%w: ingress %d ended by itself: %s", errCannotRun, node.index, node.state)
+		}
+	}
+	return nil
+}
+
 // alive reports whether the process still runs.
 func (n *ingress) alive() bool {
 	select {
