--- a/review/_standins-2/cases/window.go
+++ b/review/_standins-2/cases/window.go
@@ -257,7 +257,13 @@
 	}
 	metrics := ""
 	if outcome == "done" {
-		metrics = "\tmetrics=util:0.9,latency_ms:60,queue:1"
+		held := 0 // by the server, this one left out
+		for _, other := range w.open {
+			if other.server == a.server {
+				held++
+			}
+		}
+		metrics = fmt.Sprintf("\tsettled=1\tmetrics=util:%.2f,latency_ms:60,queue:%d", min(1, float64(held)/windowCores), max(0, held-windowCores))
 	}
 	w.record.printf("attempt %d.%d at server %d ended: %s", a.request.id, a.number, a.server, outcome)
 	w.events = append(w.events, fmt.Sprintf("ATTEMPT_END\ti=%d\tcall=%d\ttry=%d\tbackend=%s\tstateCode=%s\tlagUs=%d%s%s", a.request.gateway,
--- a/review/_standins-2/cases/world.go
+++ b/review/_standins-2/cases/world.go
@@ -12,6 +12,7 @@
 	"regexp"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -57,6 +58,7 @@
 	nodes     []*ingress
 	servers   []*backend
 	counter   *standin.Counter
+	stall     atomic.Int64 // the longest time for which this program did not run
 	addresses struct{ discovery, counter string }
 }
 
@@ -93,6 +95,7 @@
 			return w, err
 		}
 	}
+	go w.watchStalls() // to the end of the program
 	return w, w.waitReady()
 }
 
@@ -251,6 +254,30 @@
 	return strings.HasPrefix(string(buffer[:read]), "+PONG")
 }
 
+// longestStall is the time for which this program may not have run without spoiling a case that judges times.
+const longestStall = 200 * time.Millisecond
+
+// watchStalls records the longest time for which this program did not run.
+func (w *world) watchStalls() {
+	const interval = 10 * time.Millisecond
+	for last := time.Now(); ; {
+		time.Sleep(interval)
+		now := time.Now()
+		if gap := now.Sub(last) - interval; int64(gap) > w.stall.Load() {
+			w.stall.Store(int64(gap))
+		}
+		last = now
+	}
+}
+
+// checkTimes returns an error if this program did not run for too long.
+func (w *world) checkTimes() error {
+	if gap := time.Duration(w.stall.Load()); gap > longestStall {
+		return fmt.Errorf("%w: the stand-ins did not run for %v", errCannotRun, gap)
+	}
+	return w.checkAlive()
+}
+
 // checkAlive returns an error if an ingress has ended by itself.
 func (w *world) checkAlive() error {
 	for _, node := range w.nodes {
