listener: log which connections hold the slots when a new one waits too long

A wait of over half a second for one slot is now logged with the number of connections by state and of readers that pause after a fault. The rule of slots moves to a file of its own, unchanged.

--- a/internal/listener/accept.go
+++ b/internal/listener/accept.go
@@ -8,12 +8,8 @@
 	"time"
 )
 
-const (
-	// acceptRetryDelay is the wait after an accept error that is likely to recur.
-	acceptRetryDelay = 5 * time.Millisecond
-	// slotRetryInterval is how long the closing of a connection may take before another one is closed.
-	slotRetryInterval = 5 * time.Millisecond
-)
+// acceptRetryDelay is the wait after an accept error that is likely to recur.
+const acceptRetryDelay = 5 * time.Millisecond
 
 // Serve accepts connections until the listener is closed or the accept deadline that Drain sets has passed. Each connection is
 // served by its own goroutines, which end with it; Drain waits for them.
@@ -53,21 +49,3 @@
 	time.Sleep(acceptRetryDelay)
 	s.acceptDelay.recordFailure(acceptStart, time.Now())
 }
-
-// acquireConnSlot waits for the slot of a new connection. If all slots are taken it closes an idle connection: clients keep idle
-// connections open indefinitely, and hundreds may never send a command.
-func (s *Server) acquireConnSlot() {
-	for {
-		select {
-		case s.connSlots <- struct{}{}:
-			return
-		default:
-		}
-		s.closeMostIdleConn(time.Now())
-		select {
-		case s.connSlots <- struct{}{}:
-			return
-		case <-time.After(slotRetryInterval):
-		}
-	}
-}
--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -16,6 +16,7 @@
 	duplicateID    atomic.Uint64 // id of the last request that was rejected as a duplicate
 	disconnected   atomic.Bool   // the reader has ended: answers are dropped, and no attempt may start; set with mu held
 	disconnectedAt atomic.Int64  // time at which disconnected was set, on Config.Clock; zero before that
+	pausing        atomic.Bool   // the reader pauses after a fault
 	wake           chan struct{} // signals the writer that the state or the answers have changed; capacity 1
 	writerDone     chan struct{} // closed when the writer has ended
 
--- a/internal/listener/pause.go
+++ b/internal/listener/pause.go
@@ -26,6 +26,8 @@
 // faults before it may be those of another client if a proxy shares the connection. If the buffer is full and a response is
 // pending, the pause ends at once, because a disconnect is detected only by reading on.
 func (c *conn) pauseAfterFault(faults int32) (connected bool) {
+	c.pausing.Store(true)
+	defer c.pausing.Store(false)
 	c.reader.faultsAtLastPause = faults
 	until := time.Now().Add(time.Duration(faults) * faultPause)
 	for c.reader.buffer.HasRoom() {
--- a/internal/listener/state.go
+++ b/internal/listener/state.go
@@ -44,8 +44,14 @@
 	stateConfirming
 	stateFaulted
 	stateEnded
+	connStateCount
 )
 
+// String returns the name of the state in log records.
+func (state connState) String() string {
+	return [connStateCount]string{"new", "active", "idle", "draining", "confirming", "faulted", "ended"}[state]
+}
+
 // connEvent is an event that can change the state of a connection.
 type connEvent int
 
--- a/internal/listener/sweep.go
+++ b/internal/listener/sweep.go
@@ -15,28 +15,6 @@
 	newConnGrace = 50 * time.Millisecond
 )
 
-// closeMostIdleConn closes the oldest connection that has sent no command within newConnGrace, or if there is none, the
-// connection that has been idle for longest.
-func (s *Server) closeMostIdleConn(now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var mostIdle *conn
-	var state connState
-	var since time.Time
-	for c := range s.conns {
-		c.mu.Lock()
-		idle := c.state == stateIdle || c.state == stateNew && now.Sub(c.lastActivity) > newConnGrace
-		isPreferred := mostIdle == nil || state == stateIdle && c.state == stateNew || state == c.state && c.lastActivity.Before(since)
-		if idle && isPreferred {
-			mostIdle, state, since = c, c.state, c.lastActivity
-		}
-		c.mu.Unlock()
-	}
-	if mostIdle != nil {
-		mostIdle.requestClose(CloseForSlot)
-	}
-}
-
 // SweepIdle closes, until ctx ends, the connections that have been without an open request for too long: each of them uses
 // memory and a descriptor, and some clients stay connected after one request or without any.
 func (s *Server) SweepIdle(ctx context.Context) {
