listener: the end of a connection interrupts its pause, so that new clients get slots

Cause: a reader that pauses after a fault with a full buffer waits on a timer and on the end of the writer (waitWithoutReading). It does not see that the end of its connection was requested, so a connection that was asked to give up its slot keeps it through all its pauses, 2.3 s. New connections wait in the accept queue meanwhile. Evidence: counts of the connections every 250 ms in a probe: 128 of 128 slots held by connections in state confirming whose readers pause without reading, 0 accepted, for seconds on end; the record 'no slot for a new connection' says the same. Excluded by the same counts: the wait for the client's FIN (0 or 1 connections), open requests (0 to 18), and the interval between two closes (all 128 had been asked to end).

Fix: the request for the end is a channel that the pauses wait for. Clients with faulty input give up their slots before silent and idle ones. One connection a millisecond is closed at most: enough for hundreds of clients within half a second, and clients that come back at once cannot take all CPU time.

Tests: TestNewConnectionGetsASlotFromPausedOnes (100, 200 and 400 faulty clients before 256 descriptors, driven time), TestRequestedEndInterruptsPauseAfterFault, TestRequestBehindFaultsIsAnsweredWhenItsSlotIsNeeded.

--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -17,6 +17,7 @@
 	disconnected   atomic.Bool   // the reader has ended: answers are dropped, and no attempt may start; set with mu held
 	disconnectedAt atomic.Int64  // time at which disconnected was set, on Config.Clock; zero before that
 	pausing        atomic.Bool   // the reader pauses after a fault
+	endRequested   chan struct{} // closed when the end is requested, which interrupts a pause
 	wake           chan struct{} // signals the writer that the state or the answers have changed; capacity 1
 	writerDone     chan struct{} // closed when the writer has ended
 
@@ -36,7 +37,8 @@
 
 func newConn(s *Server, socket net.Conn) *conn {
 	now := time.Now()
-	c := &conn{server: s, socket: socket, wake: make(chan struct{}, 1), writerDone: make(chan struct{}), lastActivity: now}
+	c := &conn{server: s, socket: socket, endRequested: make(chan struct{}), wake: make(chan struct{}, 1),
+		writerDone: make(chan struct{}), lastActivity: now}
 	c.reader.openedAt = now
 	c.reader.buffer.Budget = s.commandMemory
 	return c
@@ -143,6 +145,36 @@
 	return true, false
 }
 
+// declineEnd declines an end that proposeEnd has proposed, so that the reader can read again. It returns whether there was one;
+// wakeWriter makes the writer propose it again.
+func (c *conn) declineEnd() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state != stateConfirming {
+		return false
+	}
+	c.transition(endDeclined)
+	c.socket.SetReadDeadline(c.readDeadline)
+	return true
+}
+
+// isEndRequested reports whether requestClose has been called.
+func (c *conn) isEndRequested() bool {
+	select {
+	case <-c.endRequested:
+		return true
+	default:
+		return false
+	}
+}
+
+// isClosingForSlot reports whether the end was requested because a new connection needs the slot.
+func (c *conn) isClosingForSlot() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reason == CloseForSlot
+}
+
 // endIfNonePending ends the connection if no response is pending. The reader calls it between two reads.
 func (c *conn) endIfNonePending() bool {
 	c.mu.Lock()
@@ -187,6 +219,9 @@
 // requestClose requests the end of the connection as soon as no response is pending.
 func (c *conn) requestClose(reason CloseReason) {
 	c.mu.Lock()
+	if c.state.isOpen() {
+		close(c.endRequested)
+	}
 	c.transition(closeRequested)
 	c.setReason(reason)
 	c.mu.Unlock()
--- a/internal/listener/disconnect.go
+++ b/internal/listener/disconnect.go
@@ -12,7 +12,7 @@
 
 // checkClientConnected reads the available input without blocking, as far as the memory allows. It returns false if it reached
 // the end of the input or the connection has failed. It clears mayBeDisconnected if it has read all input without reaching the
-// end.
+// end. A proposed end of the connection, which makes reads fail, waits until then.
 func (c *conn) checkClientConnected() (connected bool) {
 	socket, ok := c.socket.(syscall.Conn)
 	if !ok {
@@ -22,6 +22,10 @@
 	raw, err := socket.SyscallConn()
 	for err == nil {
 		err = c.reader.buffer.Fill(func(b []byte) (int, error) { return readWithoutWaiting(raw, b) })
+		if errors.Is(err, os.ErrDeadlineExceeded) && c.declineEnd() {
+			defer c.wakeWriter()
+			err = nil
+		}
 	}
 	switch {
 	case errors.Is(err, syscall.EAGAIN):
--- a/internal/listener/server.go
+++ b/internal/listener/server.go
@@ -77,6 +77,7 @@
 	maxUnsentBytes int64
 	maxReadPause   time.Duration  // longest time without reading from a connection that has no pending response
 	acceptDelay    acceptDelay    // used only by the goroutine that runs Serve
+	nextSlotClose  time.Time      // earliest time to close a connection for its slot; used only by the goroutine that runs Serve
 	acceptDone     chan struct{}  // closed when Serve has returned
 	activeConns    sync.WaitGroup // counts the connections that are being served
 
--- a/internal/listener/slots.go
+++ b/internal/listener/slots.go
@@ -3,15 +3,49 @@
 import "time"
 
 const (
-	// slotRetryInterval is how long the closing of a connection may take before another one is closed.
-	slotRetryInterval = 5 * time.Millisecond
 	// slotWaitLimit is the maximum time for which a new connection waits until others have given up their slots. An answer that
 	// comes half a second after the client's timeout is lost, so the wait must not take that time.
 	slotWaitLimit = 500 * time.Millisecond
+	// slotCloseInterval is the minimum time between two connections that are closed for their slots. Clients that connect again
+	// at once would otherwise use up the CPU time; slotWaitLimit still suffices for hundreds of them.
+	slotCloseInterval = time.Millisecond
+	// slotRetryInterval is the time after which the search for a connection that may be closed is repeated if there was none.
+	slotRetryInterval = 5 * time.Millisecond
 )
 
-// acquireConnSlot waits for the slot of a new connection. If all slots are taken it closes an idle connection: clients keep idle
-// connections open indefinitely, and hundreds may never send a command. It logs a wait that exceeds slotWaitLimit.
+// slotRank orders the connections by what their clients have done: the one with the lowest rank is closed first if a new
+// connection needs a slot, and among those of one rank the one whose last activity is the oldest.
+type slotRank int
+
+const (
+	rankFaulty     slotRank = iota // the client has sent faulty input and has no open request
+	rankSilent                     // the client has sent no command within newConnGrace
+	rankIdle                       // the client has sent no faulty input, and all its commands are answered
+	rankFaultyBusy                 // the client has sent faulty input; the connection ends once its requests are answered
+	rankProtected                  // the connection is not closed for its slot, or is about to end
+)
+
+// slotRank returns the rank of the connection; c.mu is held.
+func (c *conn) slotRank(now time.Time) slotRank {
+	isFaulty := c.faults.Load() > 0
+	switch {
+	case c.state == stateActive && isFaulty:
+		return rankFaultyBusy
+	case c.state != stateNew && c.state != stateIdle:
+		return rankProtected
+	case isFaulty:
+		return rankFaulty
+	case c.state == stateIdle:
+		return rankIdle
+	case now.Sub(c.lastActivity) > newConnGrace:
+		return rankSilent
+	}
+	return rankProtected
+}
+
+// acquireConnSlot waits for the slot of a new connection. While all slots are taken it closes other connections, one every
+// slotCloseInterval, until one of them has released its slot: clients keep idle connections open indefinitely, hundreds may
+// never send a command, and clients with faulty input may connect again as soon as they are turned away.
 func (s *Server) acquireConnSlot() {
 	waitStart := time.Now()
 	isLogged := false
@@ -21,11 +55,11 @@
 			return
 		default:
 		}
-		s.closeMostIdleConn(time.Now())
+		s.closeConnForSlot(time.Now())
 		select {
 		case s.connSlots <- struct{}{}:
 			return
-		case <-time.After(slotRetryInterval):
+		case <-time.After(time.Until(s.nextSlotClose)):
 		}
 		if now := time.Now(); !isLogged && now.Sub(waitStart) > slotWaitLimit {
 			s.logSlotHolders(now, now.Sub(waitStart))
@@ -34,26 +68,36 @@
 	}
 }
 
-// closeMostIdleConn closes the oldest connection that has sent no command within newConnGrace, or if there is none, the
-// connection that has been idle for longest.
-func (s *Server) closeMostIdleConn(now time.Time) {
+// closeConnForSlot requests the close of the connection with the lowest rank, unless it is too soon after the last one. It sets
+// the time of the next try.
+func (s *Server) closeConnForSlot(now time.Time) {
+	if now.Before(s.nextSlotClose) {
+		return
+	}
+	c := s.lowestRankedConn(now)
+	if c == nil {
+		s.nextSlotClose = now.Add(slotRetryInterval)
+		return
+	}
+	s.nextSlotClose = now.Add(slotCloseInterval)
+	c.requestClose(CloseForSlot)
+}
+
+// lowestRankedConn returns the connection that gives up its slot first, or nil if none may be closed.
+func (s *Server) lowestRankedConn(now time.Time) (lowest *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var mostIdle *conn
-	var state connState
+	lowestRank := rankProtected
 	var since time.Time
 	for c := range s.conns {
 		c.mu.Lock()
-		idle := c.state == stateIdle || c.state == stateNew && now.Sub(c.lastActivity) > newConnGrace
-		isPreferred := mostIdle == nil || state == stateIdle && c.state == stateNew || state == c.state && c.lastActivity.Before(since)
-		if idle && isPreferred {
-			mostIdle, state, since = c, c.state, c.lastActivity
-		}
+		rank, lastActivity := c.slotRank(now), c.lastActivity
 		c.mu.Unlock()
+		if rank < lowestRank || rank != rankProtected && rank == lowestRank && lastActivity.Before(since) {
+			lowest, lowestRank, since = c, rank, lastActivity
+		}
 	}
-	if mostIdle != nil {
-		mostIdle.requestClose(CloseForSlot)
-	}
+	return lowest
 }
 
 // logSlotHolders logs by their states how many connections hold the slots that a new connection has waited for.
--- /dev/null
+++ b/internal/listener/slots_test.go
@@ -0,0 +1,199 @@
+package listener
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lemontack/internal/nettest"
+	"lemontack/internal/resp"
+)
+
+const (
+	slotsOf256Descriptors = 128 // connection slots of an ingress with 256 descriptors
+	floodCommands         = 300 // commands that a faulty client sends at once
+)
+
+// flood returns faulty commands. The first one is long, so that the buffer of the connection grows and is full of the others.
+func flood() string {
+	return nettest.Command("HELLO", strings.Repeat("x", 4*resp.InitialBufferSize)) +
+		strings.Repeat(nettest.Command("HELLO"), floodCommands-1)
+}
+
+// faultyClient floods the server with faulty commands, reads until the server ends the connection, and connects again at once.
+func faultyClient(ln *memoryListener, stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		client := ln.dial()
+		io.WriteString(client, flood())
+		io.Copy(io.Discard, client)
+		client.Close()
+	}
+}
+
+// answerRequests answers all requests until stop closes.
+func answerRequests(rec *recorder, stop <-chan struct{}) {
+	for {
+		select {
+		case request := <-rec.received:
+			request.Respond(valueReply)
+		case <-rec.disconnected:
+		case <-stop:
+			return
+		}
+	}
+}
+
+// While clients with faulty input connect again as soon as they are turned away and hold all slots, a new connection is served
+// within slotWaitLimit. It guards against readers that pause after a fault and keep their slots.
+func TestNewConnectionGetsASlotFromPausedOnes(t *testing.T) {
+	for _, faultyClients := range []int{100, 200, 400} {
+		t.Run(fmt.Sprint(faultyClients, " faulty clients"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { testNewConnections(t, faultyClients, faultyClient) })
+		})
+	}
+}
+
+// testNewConnections runs clients that fill the slots, and checks that new connections with a request are answered in time.
+func testNewConnections(t *testing.T, fillers int, fill func(*memoryListener, <-chan struct{})) {
+	const (
+		settleTime  = time.Second // until the slots and the accept queue are in a steady state
+		newClients  = 30
+		newInterval = 37 * time.Millisecond
+	)
+	ln := newMemoryListener()
+	s, rec := newServer(ln, slotsOf256Descriptors, 64<<20)
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	clients.Go(s.Serve)
+	clients.Go(func() { answerRequests(rec, stop) })
+	for range fillers {
+		clients.Go(func() { fill(ln, stop) })
+	}
+	time.Sleep(settleTime)
+	for i := range newClients {
+		connectedAt := time.Now()
+		client := ln.dial()
+		io.WriteString(client, nettest.Ask(i, nettest.ReadFields))
+		nettest.WantValue(t, bufio.NewReader(client))
+		if waited := time.Since(connectedAt); waited > slotWaitLimit {
+			t.Errorf("new connection %d: got the answer after %v, want %v at most", i, waited, slotWaitLimit)
+		}
+		client.Close()
+		time.Sleep(newInterval)
+	}
+	close(stop)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	s.Drain(ctx)
+	for len(ln.queue) > 0 {
+		(<-ln.queue).Close()
+	}
+	clients.Wait()
+}
+
+// The requested end of a connection, for whatever reason, is not delayed by the pauses after faults.
+func TestRequestedEndInterruptsPauseAfterFault(t *testing.T) {
+	for name, input := range map[string]string{"buffer has room": nettest.Command("HELLO"), "buffer is full": flood()} {
+		for _, reason := range []CloseReason{CloseIdle, CloseForSlot, CloseShutdown} {
+			t.Run(fmt.Sprint(name, ", reason ", reason), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { testEndDuringPause(t, input, reason) })
+			})
+		}
+	}
+}
+
+func testEndDuringPause(t *testing.T, input string, reason CloseReason) {
+	s, _ := newServer(nil, 1, 1<<20)
+	server, client := newMemoryConn()
+	c := newConn(s, server)
+	io.WriteString(client, input)
+	done := serve(c)
+	synctest.Wait()
+	if !c.pausing.Load() {
+		t.Fatal("the reader does not pause after a fault, want a pause")
+	}
+	start := time.Now()
+	c.requestClose(reason)
+	output, err := io.ReadAll(client)
+	if took := time.Since(start); took > 0 {
+		t.Errorf("got the end after %v, want it at once", took)
+	}
+	if !strings.HasPrefix(string(output), "-ERR ") || err != nil {
+		t.Errorf("got %q, error %v; want an error reply and the end", output, err)
+	}
+	client.Close()
+	<-done
+}
+
+// A request behind faulty input has its answer, although the slot of its connection is needed: a value, or a rejection if there
+// are too many faults before it.
+func TestRequestBehindFaultsIsAnsweredWhenItsSlotIsNeeded(t *testing.T) {
+	for faults, want := range map[int]string{maxFaults / 2: string(valueReply), floodCommands: "-BUSY\r\n"} { // by number of faults
+		serverEnd, clientEnd := nettest.ConnPair(t)
+		s, rec := newServer(nil, 1, 1<<20)
+		c := newConn(s, serverEnd)
+		io.WriteString(clientEnd, strings.Repeat(nettest.Command("HELLO"), faults))
+		done := serve(c)
+		nettest.Eventually(t, "the reader pauses", c.pausing.Load)
+		c.mu.Lock() // no end is decided before the request has been sent
+		io.WriteString(clientEnd, nettest.Ask(1, nettest.ReadFields))
+		c.mu.Unlock()
+		c.requestClose(CloseForSlot)
+		answered := make(chan struct{})
+		go answerRequests(rec, answered)
+		output, err := io.ReadAll(clientEnd)
+		close(answered)
+		if want := strings.Repeat("-ERR "+unknownCommandText+"\r\n", faults) + want; string(output) != want || err != nil {
+			t.Errorf("%d faults: got %d bytes that end in %q, error %v; want %d bytes that end in %q", faults, len(output),
+				output[max(0, len(output)-30):], err, len(want), want[len(want)-30:])
+		}
+		clientEnd.Close()
+		nettest.Await(t, "the connection's end", done)
+	}
+}
+
+// Connections give up their slots in the order of what their clients have done, and those with open requests of clients without
+// faults keep theirs.
+func TestSlotsAreGivenUpInTheOrderOfRanks(t *testing.T) {
+	s, _ := newServer(nil, 8, 1<<20)
+	now := time.Now()
+	add := func(state connState, faults int32, idle time.Duration) *conn {
+		server, _ := newMemoryConn()
+		c := newConn(s, server)
+		c.state, c.lastActivity = state, now.Add(-idle)
+		c.faults.Store(faults)
+		s.conns[c] = true
+		return c
+	}
+	add(stateActive, 0, time.Hour)
+	add(stateNew, 0, newConnGrace)
+	add(stateDraining, 1, time.Hour)
+	want := []*conn{
+		add(stateNew, 1, 2*time.Millisecond),
+		add(stateIdle, 3, time.Millisecond),
+		add(stateNew, 0, newConnGrace+time.Millisecond),
+		add(stateIdle, 0, 2*time.Hour),
+		add(stateIdle, 0, time.Hour),
+		add(stateActive, 1, 3*time.Hour),
+	}
+	for i, c := range want {
+		if got := s.lowestRankedConn(now); got != c {
+			t.Fatalf("choice %d: got %p, want %p", i, got, c)
+		}
+		c.requestClose(CloseForSlot)
+	}
+	if got := s.lowestRankedConn(now); got != nil {
+		t.Fatalf("got a connection that has no more to give up its slot, state %v, want none", got.state)
+	}
+}
--- a/internal/listener/writer.go
+++ b/internal/listener/writer.go
@@ -1,7 +1,6 @@
 package listener
 
 import (
-	"net"
 	"time"
 
 	"lemontack/internal/resp"
@@ -144,7 +143,7 @@
 // because an earlier close could cause a reset, which loses answers.
 func (c *conn) closeWriteSide() {
 	c.socket.SetReadDeadline(time.Now().Add(lingerTimeout))
-	if tcp, ok := c.socket.(*net.TCPConn); ok {
-		tcp.CloseWrite()
+	if socket, ok := c.socket.(interface{ CloseWrite() error }); ok {
+		socket.CloseWrite()
 	}
 }
--- a/internal/resp/buffer.go
+++ b/internal/resp/buffer.go
@@ -65,6 +65,9 @@
 	return frame, nil
 }
 
+// Discard drops the input that Next has not returned.
+func (buffer *FrameBuffer) Discard() { buffer.start = buffer.end }
+
 // HasRoom reports whether Fill can read without reserving more memory.
 func (buffer *FrameBuffer) HasRoom() bool { return buffer.end-buffer.start < InitialBufferSize }
 
