listener: close one idle connection for a new one, not one every millisecond

An idle client without faults that takes some milliseconds to close its side cost four others their connections.

TestOneIdleConnectionIsClosedForOneNewConnection: 5 connections closed without this change, 1 with it.

--- a/internal/listener/slots.go
+++ b/internal/listener/slots.go
@@ -9,7 +9,8 @@
 	// slotCloseInterval is the minimum time between two connections that are closed for their slots. Clients that connect again
 	// at once would otherwise use up the CPU time; slotWaitLimit still suffices for hundreds of them.
 	slotCloseInterval = time.Millisecond
-	// slotRetryInterval is the time after which the search for a connection that may be closed is repeated if there was none.
+	// slotRetryInterval is how long the closing of an idle connection of a client without faults may take before another one is
+	// closed. It is also the time after which the search for a connection to close is repeated if there was none.
 	slotRetryInterval = 5 * time.Millisecond
 )
 
@@ -43,8 +44,8 @@
 	return rankProtected
 }
 
-// acquireConnSlot waits for the slot of a new connection. While all slots are taken it closes other connections, one every
-// slotCloseInterval, until one of them has released its slot: clients keep idle connections open indefinitely, hundreds may
+// acquireConnSlot waits for the slot of a new connection. While all slots are taken it closes other connections, one after the
+// other, until one of them has released its slot: clients keep idle connections open indefinitely, hundreds may
 // never send a command, and clients with faulty input may connect again as soon as they are turned away.
 func (s *Server) acquireConnSlot() {
 	waitStart := time.Now()
@@ -55,11 +56,11 @@
 			return
 		default:
 		}
-		s.closeConnForSlot(time.Now())
+		retryAfter := s.closeConnForSlot(time.Now())
 		select {
 		case s.connSlots <- struct{}{}:
 			return
-		case <-time.After(time.Until(s.nextSlotClose)):
+		case <-time.After(retryAfter):
 		}
 		if now := time.Now(); !isLogged && now.Sub(waitStart) > slotWaitLimit {
 			s.logSlotHolders(now, now.Sub(waitStart))
@@ -68,26 +69,29 @@
 	}
 }
 
-// closeConnForSlot requests the close of the connection with the lowest rank, unless it is too soon after the last one. It sets
-// the time of the next try.
-func (s *Server) closeConnForSlot(now time.Time) {
-	if now.Before(s.nextSlotClose) {
-		return
+// closeConnForSlot requests the close of the connection with the lowest rank, unless it is too soon after the last one. It
+// returns how long to wait for a slot before the next call.
+func (s *Server) closeConnForSlot(now time.Time) (retryAfter time.Duration) {
+	if early := s.nextSlotClose.Sub(now); early > 0 {
+		return early
 	}
-	c := s.lowestRankedConn(now)
+	c, rank := s.lowestRankedConn(now)
 	if c == nil {
-		s.nextSlotClose = now.Add(slotRetryInterval)
-		return
+		return slotRetryInterval
 	}
 	s.nextSlotClose = now.Add(slotCloseInterval)
 	c.requestClose(CloseForSlot)
+	if rank < rankIdle {
+		return slotCloseInterval
+	}
+	return slotRetryInterval
 }
 
-// lowestRankedConn returns the connection that gives up its slot first, or nil if none may be closed.
-func (s *Server) lowestRankedConn(now time.Time) (lowest *conn) {
+// lowestRankedConn returns the connection that gives up its slot first and its rank, or nil if none may be closed.
+func (s *Server) lowestRankedConn(now time.Time) (lowest *conn, lowestRank slotRank) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	lowestRank := rankProtected
+	lowestRank = rankProtected
 	var since time.Time
 	for c := range s.conns {
 		c.mu.Lock()
@@ -97,7 +101,7 @@
 			lowest, lowestRank, since = c, rank, lastActivity
 		}
 	}
-	return lowest
+	return lowest, lowestRank
 }
 
 // logSlotHolders logs by their states how many connections hold the slots that a new connection has waited for.
--- a/internal/listener/slots_test.go
+++ b/internal/listener/slots_test.go
@@ -188,12 +188,45 @@
 		add(stateActive, 1, 3*time.Hour),
 	}
 	for i, c := range want {
-		if got := s.lowestRankedConn(now); got != c {
+		if got, _ := s.lowestRankedConn(now); got != c {
 			t.Fatalf("choice %d: got %p, want %p", i, got, c)
 		}
 		c.requestClose(CloseForSlot)
 	}
-	if got := s.lowestRankedConn(now); got != nil {
+	if got, _ := s.lowestRankedConn(now); got != nil {
 		t.Fatalf("got a connection that has no more to give up its slot, state %v, want none", got.state)
 	}
 }
+
+// One idle connection is closed for one new connection, also if its client takes some milliseconds to close its side.
+func TestOneIdleConnectionIsClosedForOneNewConnection(t *testing.T) {
+	const clientDelay = 4 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		ln := newMemoryListener()
+		s, _ := newServer(ln, slotsOf256Descriptors, 1<<20)
+		var goroutines sync.WaitGroup
+		goroutines.Go(s.Serve)
+		for range slotsOf256Descriptors - 1 { // one more slot is kept for the next connection
+			client := ln.dial()
+			io.WriteString(client, nettest.Command(commandPing))
+			goroutines.Go(func() {
+				io.Copy(io.Discard, client)
+				time.Sleep(clientDelay)
+				client.Close()
+			})
+		}
+		synctest.Wait()
+		newClient := ln.dial()
+		io.WriteString(newClient, nettest.Command(commandPing))
+		if got := nettest.ReadLine(t, bufio.NewReader(newClient)); got != "+PONG" {
+			t.Errorf("got reply %q, want +PONG", got)
+		}
+		time.Sleep(lingerTimeout) // all connections that were asked to end have ended
+		if got := s.cfg.Counters.Closes.Value(CloseForSlot); got != 1 {
+			t.Errorf("got %d connections closed for their slots, want 1", got)
+		}
+		newClient.Close()
+		s.Drain(t.Context())
+		goroutines.Wait()
+	})
+}
