listener: a connection without any input ends at once and gives its slot free

Here the reader ends it at once, but the socket then waits up to 250 ms for the client's FIN, so that a reset does not lose answers; where nothing was read, nothing was answered. Fix: such a connection is closed without the wait. It reads once more before, so that a first request that has arrived meanwhile is served; it was thrown away.

--- a/internal/listener/reader.go
+++ b/internal/listener/reader.go
@@ -27,6 +27,7 @@
 // Errors that end the reading of commands.
 var (
 	errConnEnded         = errors.New("the connection has ended between requests")
+	errConnUnused        = errors.New("the connection has ended before any input")
 	errUnfinishedCommand = errors.New("the command does not end")
 )
 
@@ -97,6 +98,9 @@
 	before := len(c.reader.buffer.Buffered())
 	err := c.reader.buffer.Fill(c.socket.Read)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
+		if !c.reader.hasRead {
+			return c.endUnused()
+		}
 		switch proposed, ended := c.confirmEnd(); {
 		case ended:
 			return errConnEnded
@@ -119,6 +123,22 @@
 	return c.recordArrival()
 }
 
+// endUnused ends a connection on which nothing has been read, as the writer has proposed, unless input has arrived by now. The
+// connection does not wait for the client's FIN, since no answer was sent that a reset could lose: it would keep its slot from
+// other clients, and hundreds may never send a command.
+func (c *conn) endUnused() error {
+	if !c.checkClientConnected() {
+		return io.EOF
+	}
+	if c.reader.buffer.HasPartialFrame() {
+		return c.recordArrival()
+	}
+	if c.endIfNonePending() {
+		return errConnUnused
+	}
+	return nil
+}
+
 // setCommandDeadline sets a deadline for the rest of a command that has been read in part. It does so once for each command: a
 // deadline for each read would cost CPU time.
 func (c *conn) setCommandDeadline() {
--- a/internal/listener/slots_test.go
+++ b/internal/listener/slots_test.go
@@ -102,6 +102,61 @@
 	clients.Wait()
 }
 
+// silentClient connects and sends nothing. It closes its side some time after the server has ended the connection, and connects
+// again at once.
+func silentClient(ln *memoryListener, stop <-chan struct{}) {
+	const clientDelay = 300 * time.Millisecond
+	for {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		client := ln.dial()
+		io.Copy(io.Discard, client)
+		time.Sleep(clientDelay)
+		client.Close()
+	}
+}
+
+// While hundreds of silent clients hold all slots, a new connection is served within slotWaitLimit. It guards against slots that
+// are kept until a silent client has closed its side.
+func TestNewConnectionGetsASlotFromSilentOnes(t *testing.T) {
+	for _, silentClients := range []int{200, 400, 600} {
+		t.Run(fmt.Sprint(silentClients, " silent clients"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { testNewConnections(t, silentClients, silentClient) })
+		})
+	}
+}
+
+// A first request that stands in the socket when the end of its connection is proposed is answered.
+func TestFirstRequestInTheSocketIsAnsweredAtTheEnd(t *testing.T) {
+	for _, reason := range []CloseReason{CloseIdle, CloseForSlot, CloseShutdown} {
+		serverEnd, clientEnd := nettest.ConnPair(t)
+		s, rec := newServer(nil, 1, 1<<20)
+		reads := make(chan struct{})
+		c := newConn(s, &gatedConn{TCPConn: serverEnd, reads: reads})
+		done := serve(c)
+		io.WriteString(clientEnd, nettest.Ask(1, nettest.ReadFields))
+		c.requestClose(reason)
+		nettest.Eventually(t, "the end is proposed", func() bool {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return c.state == stateConfirming
+		})
+		close(reads)
+		stop := make(chan struct{})
+		go answerRequests(rec, stop)
+		output, err := io.ReadAll(clientEnd)
+		close(stop)
+		if string(output) != string(valueReply) || err != nil {
+			t.Errorf("reason %d: got %q, error %v; want the value and the end", reason, output, err)
+		}
+		clientEnd.Close()
+		nettest.Await(t, "the connection's end", done)
+	}
+}
+
 // The requested end of a connection, for whatever reason, is not delayed by the pauses after faults.
 func TestRequestedEndInterruptsPauseAfterFault(t *testing.T) {
 	for name, input := range map[string]string{"buffer has room": nettest.Command("HELLO"), "buffer is full": flood()} {
