listener: the wait in the accept queue behind others counts for a request's timeout

Cause: while clients keep all slots in use, a connection waits in the accept queue behind hundreds of others, but only the last wait for a slot, a few milliseconds, was taken from the time of its first request. The deadline that a backend was told exceeded what the client had left by up to the wait in the queue.

Change: while no slot is free the length of the accept queue is read every 5 ms (TCP_INFO of the listening socket); since connections are accepted in the order of their arrival, it tells which of them had arrived at that time. Where the system does not tell the length, everything is as before.

--- a/internal/listener/server.go
+++ b/internal/listener/server.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"lemontack/internal/resp"
+	"lemontack/internal/sockets"
 	"lemontack/internal/stall"
 	"lemontack/internal/telemetry"
 	"lemontack/policy"
@@ -75,11 +76,13 @@
 	commandMemory  *resp.MemoryBudget // memory for incoming commands
 	unsentBytes    atomic.Int64       // size of the unwritten answers on all connections
 	maxUnsentBytes int64
-	maxReadPause   time.Duration  // longest time without reading from a connection that has no pending response
-	acceptDelay    acceptDelay    // used only by the goroutine that runs Serve
-	nextSlotClose  time.Time      // earliest time to close a connection for its slot; used only by the goroutine that runs Serve
-	acceptDone     chan struct{}  // closed when Serve has returned
-	activeConns    sync.WaitGroup // counts the connections that are being served
+	maxReadPause   time.Duration // longest time without reading from a connection that has no pending response
+	acceptDelay    acceptDelay   // used only by the goroutine that runs Serve
+	// acceptQueueLength is sockets.AcceptQueueLength; tests replace it.
+	acceptQueueLength func(net.Listener) (length int, ok bool)
+	nextSlotClose     time.Time      // earliest time to close a connection for its slot; used only by the goroutine that runs Serve
+	acceptDone        chan struct{}  // closed when Serve has returned
+	activeConns       sync.WaitGroup // counts the connections that are being served
 
 	mu       sync.Mutex // guards the fields below; locked before the mu of a conn
 	conns    map[*conn]bool
@@ -89,15 +92,16 @@
 // New returns a server for the connections of a net.Listener, which Drain closes.
 func New(listener net.Listener, cfg Config) *Server {
 	s := &Server{
-		cfg:            cfg,
-		debugEnabled:   cfg.Log.Enabled(context.Background(), slog.LevelDebug),
-		listener:       listener,
-		connSlots:      make(chan struct{}, cfg.MaxConnections),
-		commandMemory:  resp.NewMemoryBudget(cfg.Memory),
-		maxUnsentBytes: int64(cfg.Memory),
-		maxReadPause:   time.Duration(math.MaxInt64),
-		acceptDone:     make(chan struct{}),
-		conns:          map[*conn]bool{},
+		cfg:               cfg,
+		debugEnabled:      cfg.Log.Enabled(context.Background(), slog.LevelDebug),
+		listener:          listener,
+		connSlots:         make(chan struct{}, cfg.MaxConnections),
+		commandMemory:     resp.NewMemoryBudget(cfg.Memory),
+		maxUnsentBytes:    int64(cfg.Memory),
+		maxReadPause:      time.Duration(math.MaxInt64),
+		acceptDone:        make(chan struct{}),
+		acceptQueueLength: sockets.AcceptQueueLength,
+		conns:             map[*conn]bool{},
 	}
 	for _, class := range cfg.Classes {
 		s.maxReadPause = min(s.maxReadPause, class.Deadline/maxReadPauseDivisor)
--- a/internal/listener/slots.go
+++ b/internal/listener/slots.go
@@ -56,19 +56,31 @@
 			return
 		default:
 		}
-		retryAfter := s.closeConnForSlot(time.Now())
+		now := time.Now()
+		s.markAcceptQueue(now)
+		retryAfter := s.closeConnForSlot(now)
 		select {
 		case s.connSlots <- struct{}{}:
 			return
 		case <-time.After(retryAfter):
 		}
-		if now := time.Now(); !isLogged && now.Sub(waitStart) > slotWaitLimit {
+		if now = time.Now(); !isLogged && now.Sub(waitStart) > slotWaitLimit {
 			s.logSlotHolders(now, now.Sub(waitStart))
 			isLogged = true
 		}
 	}
 }
 
+// markAcceptQueue records how many connections wait in the accept queue, from time to time.
+func (s *Server) markAcceptQueue(now time.Time) {
+	if !s.acceptDelay.needsQueueMark(now) {
+		return
+	}
+	if length, ok := s.acceptQueueLength(s.listener); ok {
+		s.acceptDelay.recordQueue(now, length)
+	}
+}
+
 // closeConnForSlot requests the close of the connection with the lowest rank, unless it is too soon after the last one. It
 // returns how long to wait for a slot before the next call.
 func (s *Server) closeConnForSlot(now time.Time) (retryAfter time.Duration) {
--- a/internal/listener/slots_test.go
+++ b/internal/listener/slots_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"strings"
 	"sync"
 	"testing"
@@ -285,3 +286,34 @@
 		goroutines.Wait()
 	})
 }
+
+// The time that a connection has waited in the accept queue behind others counts for its first request, so that the request is
+// not given more time than its client has left.
+func TestRequestTimeoutCountsFromTheArrivalInTheQueue(t *testing.T) {
+	const waiting = 8
+	synctest.Test(t, func(t *testing.T) {
+		ln := newMemoryListener()
+		s, rec := newServer(ln, 1, 1<<20)
+		s.acceptQueueLength = func(net.Listener) (int, bool) { return len(ln.queue), true }
+		var goroutines sync.WaitGroup
+		goroutines.Go(s.Serve)
+		start := time.Now()
+		var clients []*memoryConn
+		for i := range waiting { // all but the first one wait for the slot
+			client := ln.dial()
+			io.WriteString(client, nettest.Ask(i, nettest.ReadFields))
+			clients = append(clients, client)
+		}
+		for i, client := range clients {
+			request := <-rec.received
+			if late := request.ReadAt - s.cfg.Clock(start); late > queueMarkInterval {
+				t.Errorf("request %d: got a timeout that counts from %v after its arrival, want %v at most", i, late, queueMarkInterval)
+			}
+			time.Sleep(50 * time.Millisecond)
+			request.Respond(valueReply)
+			client.Close()
+		}
+		s.Drain(t.Context())
+		goroutines.Wait()
+	})
+}
