listener: connections without a request keep their slots for 50 ms at most when asked to end

Clients that have only sent PING were treated as those that have requested: one of them was asked every 5 ms.

Change: if the slot is needed and no request was received, the connection waits 50 ms for the FIN; a reset could lose only the answers to faulty commands and pings then. Connections with pings only rank with the silent ones, after newConnGrace.

--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -26,6 +26,7 @@
 	reason            CloseReason        // reason for the end of the connection; the first one set is kept
 	aborted           bool               // the server closed the socket without waiting for answers
 	commandReceived   bool               // a complete command has been received
+	requestReceived   bool               // a request has been received and was not rejected at once
 	readDeadline      time.Time          // deadline of the reader, zero for none; in effect unless the writer has set another one
 	lastActivity      time.Time          // time at which the connection was opened, or last received a command or an answer
 	pendingResponses  []*pendingResponse // responses in the order of their commands, without those in readyAnswers
--- a/internal/listener/slots.go
+++ b/internal/listener/slots.go
@@ -20,7 +20,7 @@
 
 const (
 	rankFaulty     slotRank = iota // the client has sent faulty input and has no open request
-	rankSilent                     // the client has sent no command within newConnGrace
+	rankUnused                     // the client has sent no request, and no command within newConnGrace
 	rankIdle                       // the client has sent no faulty input, and all its commands are answered
 	rankFaultyBusy                 // the client has sent faulty input; the connection ends once its requests are answered
 	rankProtected                  // the connection is not closed for its slot, or is about to end
@@ -36,10 +36,10 @@
 		return rankProtected
 	case isFaulty:
 		return rankFaulty
+	case !c.requestReceived && now.Sub(c.lastActivity) > newConnGrace:
+		return rankUnused
 	case c.state == stateIdle:
 		return rankIdle
-	case now.Sub(c.lastActivity) > newConnGrace:
-		return rankSilent
 	}
 	return rankProtected
 }
--- a/internal/listener/sweep.go
+++ b/internal/listener/sweep.go
@@ -11,7 +11,7 @@
 	// sweepInterval is the time between two sweeps for idle connections.
 	sweepInterval = 250 * time.Millisecond
 	// newConnGrace is the time in which a new connection is not closed for a shutdown or for its slot, because its first
-	// command may be in transit.
+	// command may be in transit. After it a connection without a request gives up its slot before others.
 	newConnGrace = 50 * time.Millisecond
 )
 
--- a/internal/listener/writer.go
+++ b/internal/listener/writer.go
@@ -12,6 +12,9 @@
 	writeTimeout = 3 * time.Second
 	// lingerTimeout is how long the client has to close its side after the server's FIN before the socket is closed.
 	lingerTimeout = 250 * time.Millisecond
+	// slotLingerTimeout takes the place of lingerTimeout if a new connection needs the slot and no request was received, so that
+	// a reset could lose nothing but the answers to faulty commands and pings.
+	slotLingerTimeout = 50 * time.Millisecond
 )
 
 // pendingResponse is the position of one command's answer among the answers of its connection.
@@ -32,6 +35,7 @@
 	c.pendingResponses = append(c.pendingResponses, pending)
 	c.unwrittenCommands++
 	c.lastActivity, c.commandReceived = time.Now(), true
+	c.requestReceived = c.requestReceived || request != nil
 	c.transition(commandAccepted)
 	return pending
 }
@@ -139,11 +143,21 @@
 	return err
 }
 
-// closeWriteSide sends a FIN. The reader then waits up to lingerTimeout for the FIN of the client before the socket is closed,
-// because an earlier close could cause a reset, which loses answers.
+// closeWriteSide sends a FIN. The reader then waits for some time for the FIN of the client before the socket is closed, because
+// an earlier close could cause a reset, which loses answers.
 func (c *conn) closeWriteSide() {
-	c.socket.SetReadDeadline(time.Now().Add(lingerTimeout))
+	c.socket.SetReadDeadline(time.Now().Add(c.lingerTime()))
 	if socket, ok := c.socket.(interface{ CloseWrite() error }); ok {
 		socket.CloseWrite()
 	}
 }
+
+// lingerTime returns how long the client has to close its side after the server's FIN.
+func (c *conn) lingerTime() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reason == CloseForSlot && !c.requestReceived {
+		return slotLingerTimeout
+	}
+	return lingerTimeout
+}
