--- a/internal/listener/reader.go
+++ b/internal/listener/reader.go
@@ -98,7 +98,7 @@
 	before := len(c.reader.buffer.Buffered())
 	err := c.reader.buffer.Fill(c.socket.Read)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		if !c.reader.hasRead {
+		if !c.reader.hasRead && c.isEndRequested() {
 			return c.endUnused()
 		}
 		switch proposed, ended := c.confirmEnd(); {
