listener: connections that are closed for their slots catch up with their pace

Change: the pace is a mean of one a millisecond, with a lag of 5 ms at most.

TestSlotsAreClosedAtABoundedRate bounds the rate.

--- a/internal/listener/slots.go
+++ b/internal/listener/slots.go
@@ -6,9 +6,12 @@
 	// slotWaitLimit is the maximum time for which a new connection waits until others have given up their slots. An answer that
 	// comes half a second after the client's timeout is lost, so the wait must not take that time.
 	slotWaitLimit = 500 * time.Millisecond
-	// slotCloseInterval is the minimum time between two connections that are closed for their slots. Clients that connect again
-	// at once would otherwise use up the CPU time; slotWaitLimit still suffices for hundreds of them.
+	// slotCloseInterval is the mean time, at least, between two connections that are closed for their slots. Clients that connect
+	// again at once would otherwise use up the CPU time; slotWaitLimit still suffices for hundreds of them.
 	slotCloseInterval = time.Millisecond
+	// maxSlotCloseLag is how far the closing of connections may lag behind slotCloseInterval, because timers and the ends of
+	// connections take their time, and still catch up.
+	maxSlotCloseLag = 5 * time.Millisecond
 	// slotRetryInterval is how long the closing of an idle connection of a client without faults may take before another one is
 	// closed. It is also the time after which the search for a connection to close is repeated if there was none.
 	slotRetryInterval = 5 * time.Millisecond
@@ -91,7 +94,10 @@
 	if c == nil {
 		return slotRetryInterval
 	}
-	s.nextSlotClose = now.Add(slotCloseInterval)
+	if lagLimit := now.Add(-maxSlotCloseLag); s.nextSlotClose.Before(lagLimit) {
+		s.nextSlotClose = lagLimit
+	}
+	s.nextSlotClose = s.nextSlotClose.Add(slotCloseInterval)
 	c.requestClose(CloseForSlot)
 	if rank < rankIdle {
 		return slotCloseInterval
--- a/internal/listener/slots_test.go
+++ b/internal/listener/slots_test.go
@@ -259,6 +259,33 @@
 	}
 }
 
+// The rate at which connections are closed for their slots is bounded, also after a time without any, so that clients that come
+// back at once do not take up the CPU.
+func TestSlotsAreClosedAtABoundedRate(t *testing.T) {
+	const period = 20 * time.Millisecond
+	const most = int((period + maxSlotCloseLag) / slotCloseInterval)
+	s, _ := newServer(nil, slotsOf256Descriptors, 1<<20)
+	for range slotsOf256Descriptors {
+		server, _ := newMemoryConn()
+		c := newConn(s, server)
+		c.faults.Store(1)
+		s.conns[c] = true
+	}
+	start := time.Now()
+	for elapsed := time.Duration(0); elapsed < period; elapsed += slotCloseInterval / 10 {
+		s.closeConnForSlot(start.Add(elapsed))
+	}
+	closing := 0
+	for c := range s.conns {
+		if c.isClosingForSlot() {
+			closing++
+		}
+	}
+	if closing < most-1 || closing > most {
+		t.Errorf("got %d connections asked to end in %v, want %d, or one less", closing, period, most)
+	}
+}
+
 // One idle connection is closed for one new connection, also if its client takes some milliseconds to close its side.
 func TestOneIdleConnectionIsClosedForOneNewConnection(t *testing.T) {
 	const clientDelay = 4 * time.Millisecond
