listener: the answer of a rejected request is not lost for a slot

Cause: the wait for the client's FIN was shortened where no request had been admitted, so that a reset could lose the BUSY of a request that was read and rejected at once. The condition is now that no well-formed request was read. TestAnswersOfRequestsAreNotLostForASlot: with the condition before, the rejected request has 50 ms in place of 250.

--- a/internal/listener/commands.go
+++ b/internal/listener/commands.go
@@ -77,6 +77,7 @@
 	if err != nil {
 		return c.answerFault(FaultRequest, err.Error())
 	}
+	c.requestRead.Store(true)
 	observer := c.server.cfg.Observer
 	observer.RequestRead()
 	if c.reader.rejectsRequests || c.reader.mayBeDisconnected || c.hasUnwrittenCommands(MaxPipelined) {
--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -13,6 +13,7 @@
 	socket         net.Conn
 	reader         reader        // used only by the reading goroutine
 	faults         atomic.Int32  // number of faults of the client
+	requestRead    atomic.Bool   // a well-formed request has been read, even if it was rejected
 	duplicateID    atomic.Uint64 // id of the last request that was rejected as a duplicate
 	disconnected   atomic.Bool   // the reader has ended: answers are dropped, and no attempt may start; set with mu held
 	disconnectedAt atomic.Int64  // time at which disconnected was set, on Config.Clock; zero before that
@@ -26,7 +27,6 @@
 	reason            CloseReason        // reason for the end of the connection; the first one set is kept
 	aborted           bool               // the server closed the socket without waiting for answers
 	commandReceived   bool               // a complete command has been received
-	requestReceived   bool               // a request has been received and was not rejected at once
 	readDeadline      time.Time          // deadline of the reader, zero for none; in effect unless the writer has set another one
 	lastActivity      time.Time          // time at which the connection was opened, or last received a command or an answer
 	pendingResponses  []*pendingResponse // responses in the order of their commands, without those in readyAnswers
--- a/internal/listener/slots.go
+++ b/internal/listener/slots.go
@@ -39,7 +39,7 @@
 		return rankProtected
 	case isFaulty:
 		return rankFaulty
-	case !c.requestReceived && now.Sub(c.lastActivity) > newConnGrace:
+	case !c.requestRead.Load() && now.Sub(c.lastActivity) > newConnGrace:
 		return rankUnused
 	case c.state == stateIdle:
 		return rankIdle
--- a/internal/listener/slots_test.go
+++ b/internal/listener/slots_test.go
@@ -218,6 +218,48 @@
 	}
 }
 
+// The client of a connection that gives up its slot has the usual time to read the answer of a request, also of a rejected one.
+func TestAnswersOfRequestsAreNotLostForASlot(t *testing.T) {
+	request := nettest.Ask(1, nettest.ReadFields)
+	for name, test := range map[string]struct {
+		input, laterInput string // laterInput is sent during the pause after a fault
+		want              time.Duration
+	}{
+		"nothing":          {"", "", slotLingerTimeout},
+		"ping":             {nettest.Command(commandPing), "", slotLingerTimeout},
+		"faults":           {flood(), "", slotLingerTimeout},
+		"request":          {request, "", lingerTimeout},
+		"rejected request": {flood(), request, lingerTimeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			serverEnd, clientEnd := nettest.ConnPair(t)
+			s, rec := newServer(nil, 1, 1<<20)
+			c := newConn(s, serverEnd)
+			stop := make(chan struct{})
+			defer close(stop)
+			go answerRequests(rec, stop)
+			io.WriteString(clientEnd, test.input)
+			done := serve(c)
+			if test.input != "" {
+				nettest.Eventually(t, "the input is read", func() bool { return c.pausing.Load() || c.hasReceivedCommand() })
+			}
+			c.mu.Lock() // no end is decided before the rest has been sent
+			io.WriteString(clientEnd, test.laterInput)
+			c.mu.Unlock()
+			c.requestClose(CloseForSlot)
+			output, _ := io.ReadAll(clientEnd)
+			if test.laterInput != "" && !strings.HasSuffix(string(output), "-BUSY\r\n") {
+				t.Errorf("got %d bytes without a rejection at the end, want one", len(output))
+			}
+			if got := c.lingerTime(); got != test.want {
+				t.Errorf("got %v for the client's FIN, want %v", got, test.want)
+			}
+			clientEnd.Close()
+			nettest.Await(t, "the connection's end", done)
+		})
+	}
+}
+
 // Connections give up their slots in the order of what their clients have done, and those with open requests of clients without
 // faults keep theirs.
 func TestSlotsAreGivenUpInTheOrderOfRanks(t *testing.T) {
@@ -232,7 +274,7 @@
 		return c
 	}
 	withRequest := func(c *conn) *conn {
-		c.requestReceived = true
+		c.requestRead.Store(true)
 		return c
 	}
 	add(stateActive, 0, time.Hour)
--- a/internal/listener/writer.go
+++ b/internal/listener/writer.go
@@ -12,7 +12,7 @@
 	writeTimeout = 3 * time.Second
 	// lingerTimeout is how long the client has to close its side after the server's FIN before the socket is closed.
 	lingerTimeout = 250 * time.Millisecond
-	// slotLingerTimeout takes the place of lingerTimeout if a new connection needs the slot and no request was received, so that
+	// slotLingerTimeout takes the place of lingerTimeout if a new connection needs the slot and no request was read, so that
 	// a reset could lose nothing but the answers to faulty commands and pings.
 	slotLingerTimeout = 50 * time.Millisecond
 )
@@ -35,7 +35,6 @@
 	c.pendingResponses = append(c.pendingResponses, pending)
 	c.unwrittenCommands++
 	c.lastActivity, c.commandReceived = time.Now(), true
-	c.requestReceived = c.requestReceived || request != nil
 	c.transition(commandAccepted)
 	return pending
 }
@@ -156,7 +155,7 @@
 func (c *conn) lingerTime() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.reason == CloseForSlot && !c.requestReceived {
+	if c.reason == CloseForSlot && !c.requestRead.Load() {
 		return slotLingerTimeout
 	}
 	return lingerTimeout
