listener: Drain waits for Serve, which may accept a connection at the very end

Seen: the race detector failed TestNewConnectionGetsASlotFromClientsThatCloseLate once, in its last step. Traced: Drain waits for the connections that are being served while Serve may still accept one and add it to the count; that connection is then not waited for, and at a shutdown its request has no answer. Change: Serve counts as well, so that Drain waits for its end.

--- a/internal/listener/accept.go
+++ b/internal/listener/accept.go
@@ -14,6 +14,8 @@
 // Serve accepts connections until the listener is closed or the accept deadline that Drain sets has passed. Each connection is
 // served by its own goroutines, which end with it; Drain waits for them.
 func (s *Server) Serve() {
+	s.startServing()
+	defer s.active.Done()
 	defer close(s.acceptDone)
 	for {
 		slotWaitStart := time.Now()
@@ -36,6 +38,13 @@
 	}
 }
 
+// startServing makes Drain wait for the end of Serve, which may accept a connection just when the listener is closed.
+func (s *Server) startServing() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.active.Add(1)
+}
+
 // handleAcceptError logs the error and waits before the next call if that is likely to fail too, because the process or the
 // machine is out of descriptors or memory. It does neither for an interrupted call or a connection that was aborted in the
 // accept queue.
--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -47,7 +47,7 @@
 
 // serve runs the connection until its reader and its writer have ended.
 func (c *conn) serve() {
-	defer c.server.activeConns.Done()
+	defer c.server.active.Done()
 	stopWriter := make(chan struct{})
 	go func() { // ends after the last answer or when stopWriter closes; this function waits for it
 		defer close(c.writerDone)
--- a/internal/listener/drain.go
+++ b/internal/listener/drain.go
@@ -11,14 +11,14 @@
 
 // Drain closes the listener, and each connection as soon as no response is pending on it. Connections in the accept queue may
 // already hold requests, so they are accepted first. When ctx ends, the remaining connections are closed at once. Drain returns
-// when every connection has ended.
+// when Serve and every connection have ended.
 func (s *Server) Drain(ctx context.Context) {
 	s.startDraining()
 	s.drainAcceptQueue()
 	s.listener.Close()
 	ended := make(chan struct{})
-	go func() { // ends with the last connection, which Drain waits for
-		s.activeConns.Wait()
+	go func() { // ends with Serve and the last connection, which Drain waits for
+		s.active.Wait()
 		close(ended)
 	}()
 	select {
--- a/internal/listener/server.go
+++ b/internal/listener/server.go
@@ -82,7 +82,7 @@
 	acceptQueueLength func(net.Listener) (length int, ok bool)
 	nextSlotClose     time.Time      // earliest time to close a connection for its slot; used only by the goroutine that runs Serve
 	acceptDone        chan struct{}  // closed when Serve has returned
-	activeConns       sync.WaitGroup // counts the connections that are being served
+	active            sync.WaitGroup // counts the connections that are being served, and Serve
 
 	mu       sync.Mutex // guards the fields below; locked before the mu of a conn
 	conns    map[*conn]bool
@@ -121,7 +121,7 @@
 func (s *Server) track(c *conn) {
 	s.mu.Lock()
 	s.conns[c] = true
-	s.activeConns.Add(1)
+	s.active.Add(1)
 	draining := s.draining
 	s.mu.Unlock()
 	if draining {
