--- a/internal/tools/knownred/check.go
+++ b/internal/tools/knownred/check.go
@@ -7,10 +7,18 @@
 	"slices"
 )
 
-var errNoTestPassed = errors.New("no test passed, want at least one")
+// testsFailedStatus is the exit status of "go test" if a test or a build has failed.
+const testsFailedStatus = 1
 
-// checkFailures returns an error for each failure that is not in the list, and an error if no test passed. It prints to out for
-// each test in the list whether it failed.
+// Errors of a run that does not count, whatever its records say.
+var (
+	errNoTestPassed      = errors.New("no test passed, want at least one")
+	errNoExitStatus      = errors.New("go test did not report its exit status, so it may not have ended")
+	errUnexplainedStatus = errors.New("go test failed, but its records show no failure")
+)
+
+// checkFailures returns an error for each failure that is not in the list, and an error if no test passed or if "go test" ended in
+// another way than its records show. It prints to out for each test in the list whether it failed.
 func checkFailures(results testResults, known []knownFailure, out io.Writer) error {
 	var errs []error
 	for _, failure := range results.otherFailures {
@@ -32,5 +40,18 @@
 	if !results.anyPassed {
 		errs = append(errs, errNoTestPassed)
 	}
-	return errors.Join(errs...)
+	return errors.Join(append(errs, results.checkExitStatus())...)
+}
+
+// checkExitStatus returns an error if "go test" did not end, or failed without a failure in its records.
+func (r *testResults) checkExitStatus() error {
+	switch {
+	case r.exitStatus == exitStatusMissing:
+		return errNoExitStatus
+	case r.exitStatus > testsFailedStatus:
+		return fmt.Errorf("go test ended with exit status %d", r.exitStatus)
+	case r.exitStatus == testsFailedStatus && len(r.failedTests) == 0 && len(r.otherFailures) == 0:
+		return errUnexplainedStatus
+	}
+	return nil
 }
--- a/internal/tools/knownred/check_test.go
+++ b/internal/tools/knownred/check_test.go
@@ -18,6 +18,9 @@
 	buildFailRecords   = `{"Action":"build-fail","ImportPath":"q"}` + "\n" + `{"Action":"fail","Package":"q"}` + "\n"
 	packageFailRecords = `{"Action":"fail","Package":"q"}` + "\n"
 	plainText          = "go: no such module\n"
+	passedStatus       = exitStatusPrefix + "0\n"
+	failedStatus       = exitStatusPrefix + "1\n"
+	killedStatus       = exitStatusPrefix + "137\n"
 	knownList          = "# known\n\nTestB, it is slow, really, issue 7\n"
 	longList           = "A, b, c\nB, b, c\nC, b, c\nD, b, c\n"
 	malformedList      = "TestB fails\n"
@@ -28,17 +31,22 @@
 		records, list string
 		want          string // part of the error; empty means no error
 	}{
-		"all tests pass":                 {passRecords, "", ""},
-		"an unlisted test fails":         {passRecords + failRecords, "", "failed: TestB"},
-		"a listed test fails":            {passRecords + failRecords, knownList, ""},
-		"a listed test panics":           {passRecords + panicRecords, knownList, "outside of a test: q: panic"},
-		"a listed test races":            {passRecords + raceRecords, knownList, "DATA RACE"},
-		"a build fails":                  {passRecords + buildFailRecords, knownList, "outside of a test: q"},
-		"a package fails without a test": {passRecords + packageFailRecords, knownList, "outside of a test: q"},
-		"text of the go command":         {plainText, "", "no such module"},
-		"no records":                     {"", "", "no test passed"},
-		"too many listed tests":          {passRecords, longList, "3 at most"},
-		"malformed list":                 {passRecords, malformedList, "not of the form"},
+		"all tests pass":                   {passRecords + passedStatus, "", ""},
+		"an unlisted test fails":           {passRecords + failRecords + failedStatus, "", "failed: TestB"},
+		"a listed test fails":              {passRecords + failRecords + failedStatus, knownList, ""},
+		"a listed test panics":             {passRecords + panicRecords + failedStatus, knownList, "outside of a test: q: panic"},
+		"a listed test races":              {passRecords + raceRecords + failedStatus, knownList, "DATA RACE"},
+		"a build fails":                    {passRecords + buildFailRecords + failedStatus, knownList, "outside of a test: q"},
+		"a package fails without a test":   {passRecords + packageFailRecords + failedStatus, knownList, "outside of a test: q"},
+		"text of the go command":           {plainText + failedStatus, "", "no such module"},
+		"no records":                       {passedStatus, "", "no test passed"},
+		"records end early":                {passRecords, "", "may not have ended"},
+		"a listed test, records end early": {passRecords + failRecords, knownList, "may not have ended"},
+		"go test is killed":                {passRecords + killedStatus, "", "exit status 137"},
+		"a listed test, go test is killed": {passRecords + failRecords + killedStatus, knownList, "exit status 137"},
+		"a failure without a record":       {passRecords + failedStatus, "", "show no failure"},
+		"too many listed tests":            {passRecords + passedStatus, longList, "3 at most"},
+		"malformed list":                   {passRecords + passedStatus, malformedList, "not of the form"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			list, err := parseList(c.list)
--- a/internal/tools/knownred/main.go
+++ b/internal/tools/knownred/main.go
@@ -1,5 +1,5 @@
-// Command knownred reads the output of "go test -json" on standard input and prints it as text. Failures of the tests that
-// KNOWN-RED.txt lists are only printed; any other failure makes it exit with 1.
+// Command knownred reads the output of "go test -json" on standard input, followed by the line "go test: exit status N", and prints
+// it as text. Failures of the tests that KNOWN-RED.txt lists are only printed; any other failure makes it exit with 1.
 package main
 
 import (
--- a/internal/tools/knownred/results.go
+++ b/internal/tools/knownred/results.go
@@ -6,12 +6,19 @@
 	"fmt"
 	"io"
 	"slices"
+	"strconv"
 	"strings"
 )
 
 // maxRecordBytes is the maximum length of a record, which contains a whole line of a test's output.
 const maxRecordBytes = 64 << 20
 
+// exitStatusPrefix begins the line after the records, which ends with the exit status of "go test".
+const exitStatusPrefix = "go test: exit status "
+
+// exitStatusMissing is the exit status of a "go test" that did not end.
+const exitStatusMissing = -1
+
 // testEvent is one record of "go test -json".
 type testEvent struct {
 	Action     string
@@ -35,13 +42,15 @@
 	failedPackages         packageSet
 	packagesWithFailedTest packageSet         // packages whose failure is explained by a failed test
 	anyPassed              bool               // whether at least one test passed
+	exitStatus             int                // of "go test"; exitStatusMissing if it is unknown
 	otherFailures          []string           // failures other than of tests: builds, panics, data races, packages
 	pendingOutput          map[testKey]string // output of tests that have not ended
 }
 
-// readResults reads the records. It copies the output of packages and of failed tests to out.
+// readResults reads the records and the exit status. It copies the output of packages and of failed tests to out.
 func readResults(in io.Reader, out io.Writer) (testResults, error) {
 	results := testResults{
+		exitStatus:             exitStatusMissing,
 		failedPackages:         packageSet{},
 		packagesWithFailedTest: packageSet{},
 		pendingOutput:          map[testKey]string{},
@@ -49,6 +58,10 @@
 	lines := bufio.NewScanner(in)
 	lines.Buffer(nil, maxRecordBytes)
 	for lines.Scan() {
+		if status, isStatus := parseExitStatus(lines.Text()); isStatus {
+			results.exitStatus = status
+			continue
+		}
 		var event testEvent
 		if err := json.Unmarshal(lines.Bytes(), &event); err != nil { // plain text of the go command
 			fmt.Fprintln(out, lines.Text())
@@ -66,6 +79,16 @@
 	return results, lines.Err()
 }
 
+// parseExitStatus reads the line that ends with the exit status of "go test". It returns false for any other line.
+func parseExitStatus(line string) (status int, isStatus bool) {
+	text, isStatus := strings.CutPrefix(line, exitStatusPrefix)
+	if !isStatus {
+		return 0, false
+	}
+	status, err := strconv.Atoi(text)
+	return status, err == nil
+}
+
 func (r *testResults) record(event testEvent, out io.Writer) {
 	switch event.Action {
 	case "output", "build-output":
