policy: a queued retry is not sent after its deduplication window

Cause: whether a request may be retried was asked when its attempt ended; the request then waited in the queue for as long as others went first, and dispatch asked only for its deadline and quotas.

Change: checkStart is asked at the instant of sending, in one place for first attempts, retries and hedges. A request that may never start again has its final answer at once, at dispatch or at the next tick. It works because the time of sending is the time of the check: nothing lies between them.

--- a/policy/attempts.go
+++ b/policy/attempts.go
@@ -120,7 +120,7 @@
 // hedgeIfOverdue starts a second attempt at another endpoint if the answer to the only attempt in flight is
 // overdue.
 func (g *Gateway) hedgeIfOverdue(r *request) {
-	if !g.mayHedge(r) || !g.mayRetry(r) || !g.mayDispatch(r) {
+	if !g.mayHedge(r) || g.checkStart(r) != startNow {
 		return
 	}
 	last := r.attempts[len(r.attempts)-1]
--- a/policy/dispatch.go
+++ b/policy/dispatch.go
@@ -30,33 +30,57 @@
 	return g.queue.Len() > 0 || g.limiter.NearlyFull()
 }
 
+// startVerdict says whether the next attempt of a request may start.
+type startVerdict int
+
+const (
+	startNow   startVerdict = iota
+	startLater              // its customer's quotas do not allow it yet, or its deadline has passed
+	startNever              // no further attempt is safe, or its limit of attempts is reached
+)
+
+// checkStart is asked at the instant of sending, for first attempts, retries and hedges alike: what was
+// allowed when a request was queued may not be allowed any more.
+func (g *Gateway) checkStart(r *request) startVerdict {
+	switch {
+	case !g.mayRetry(r):
+		return startNever
+	case g.now >= r.Deadline || !g.quota.MayDispatch(&r.charge):
+		return startLater
+	default:
+		return startNow
+	}
+}
+
 // dispatch starts attempts of queued requests, highest priority first, while the limiter's window has
 // capacity. It skips requests that cannot start yet because of their customer's quotas, or because no
-// endpoint may receive them.
+// endpoint may receive them, and ends those that can never start.
 func (g *Gateway) dispatch() {
 	position := 0
 	for position < g.queue.Len() && g.limiter.HasCapacity(g.now) {
-		r := g.queue.At(position)
-		if !g.mayDispatch(r) {
+		if !g.dispatchAt(position) {
 			position++
-			continue
 		}
-		endpoint := g.pickEndpoint(r)
-		if endpoint == nil {
-			position++
-			continue
-		}
-		g.queue.RemoveAt(position)
-		r.queued = false
-		g.startAttempt(r, endpoint)
 	}
 }
 
-// mayDispatch reports whether the request's deadline has not passed, and its customer's concurrency quota and
-// ceiling allow an attempt to start now.
-func (g *Gateway) mayDispatch(r *request) bool {
-	if g.now >= r.Deadline {
+// dispatchAt starts the next attempt of the request at a position of the queue, or ends the request if none may
+// ever start. It reports whether the request has left the queue.
+func (g *Gateway) dispatchAt(position int) (hasLeft bool) {
+	r := g.queue.At(position)
+	switch g.checkStart(r) {
+	case startNever:
+		g.rejectOrFail(r)
+		return true
+	case startLater:
 		return false
 	}
-	return g.quota.MayDispatch(&r.charge)
+	endpoint := g.pickEndpoint(r)
+	if endpoint == nil {
+		return false
+	}
+	g.queue.RemoveAt(position)
+	r.queued = false
+	g.startAttempt(r, endpoint)
+	return true
 }
--- a/policy/invariants_test.go
+++ b/policy/invariants_test.go
@@ -86,6 +86,50 @@
 	}
 }
 
+// A retry that waits in the queue until its deduplication window has ended would be executed twice. It is not sent, and has its
+// final answer as soon as the window has ended, whether or not there is capacity meanwhile.
+func TestQueuedRetryIsNotSentAfterItsDeduplicationWindow(t *testing.T) {
+	const window, failsAfter = time.Second, 300 * ms
+	reset, rejected := Reset, Rejected
+	for name, test := range map[string]struct {
+		scope       DeduplicationScope
+		outcome     Outcome       // of the attempt before
+		waits       time.Duration // in the queue, with ticks
+		pauses      time.Duration // after that, without any event
+		wantSends   int
+		wantRejects int
+		wantFails   int
+	}{
+		"within the window":                   {ScopeAll, reset, 500 * ms, 0, 1, 0, 0},
+		"after the window":                    {ScopeAll, reset, window, 0, 0, 1, 0},
+		"after the window, scope of a cell":   {ScopeCell, reset, window, 0, 0, 0, 1},
+		"the window ends without a tick":      {ScopeAll, reset, 0, window, 0, 1, 0},
+		"as before, scope of a cell":          {ScopeCell, reset, 0, window, 0, 0, 1},
+		"the attempt before was not executed": {ScopeAll, rejected, window, window, 1, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			settings := testSettings()
+			settings.Classes[1].Deadline, settings.Classes[1].LatencyObjective = 60*time.Second, 30*time.Second
+			settings.Classes[1].DeduplicationWindow, settings.Classes[1].DeduplicationScope = window, test.scope
+			g := newTestGateway(t, settings, Endpoint{ID: "s", State: Serving, Cell: 1}, Endpoint{ID: "u", State: Serving, Cell: 1})
+			request := Request{ID: 1, Class: "book", Plan: "free", Customer: "c", Units: 1, Deadline: g.now + time.Minute}
+			s := actionsOf[Send](g.handle(Arrival{request}))[0].Endpoint
+			g.now += failsAfter
+			g.gateway.limiter.SetWindow(0)
+			got := g.handle(AttemptEnded{ID: 1, Endpoint: s, Outcome: test.outcome})
+			got = append(got, g.advance(test.waits)...)
+			g.now += test.pauses
+			g.gateway.limiter.SetWindow(10)
+			got = append(got, g.handle(EndpointsChanged{})...) // any event makes the gateway dispatch
+			sends, rejects, fails := len(actionsOf[Send](got)), len(actionsOf[Reject](got)), len(actionsOf[Fail](got))
+			if sends != test.wantSends || rejects != test.wantRejects || fails != test.wantFails {
+				t.Fatalf("got %d sends, %d rejections and %d failures, want %d, %d and %d", sends, rejects, fails, test.wantSends,
+					test.wantRejects, test.wantFails)
+			}
+		})
+	}
+}
+
 // No attempt is sent to an endpoint that is draining or removed, or whose state is unknown.
 func TestNoAttemptGoesToADrainingEndpoint(t *testing.T) {
 	for _, state := range []EndpointState{Draining, Removed, EndpointState(9)} {
