ingress: count a retry that the policy decides after its deduplication window

The last check before sending ended such an attempt unsent and counted nothing, since the window may also end while an attempt waits for a connection. The time of the decision tells the two apart: now a retry that was decided after the window is a counted violation, and the wait for a connection still none. The case of TestCheckStartReturnsReason for an ended window is split into these two; the first fails with the code before.

--- a/internal/ingress/invariants.go
+++ b/internal/ingress/invariants.go
@@ -74,8 +74,9 @@
 	errClientDisconnected  = errors.New("the client has disconnected")
 	errNoTimeLeft          = errors.New("the attempt's deadline has passed")
 	errEndpointNotServing  = errors.New("the endpoint is draining or removed")
-	errDeduplicationWindow = errors.New("the deduplication window has ended")
+	errDeduplicationWindow = errors.New("the deduplication window has ended while the attempt waited")
 
+	errRetriedTooLate  = errors.New("the deduplication window had ended when the attempt was decided")
 	errTooManyAttempts = errors.New("the request has reached its maximum of attempts")
 	errParallelAttempt = errors.New("another attempt is open, and hedging is off")
 	errMayBeExecuted   = errors.New("an earlier attempt may have been executed")
@@ -116,6 +117,8 @@
 			return errMayBeExecuted
 		case !class.DeduplicationScope.Shares(a.endpoint.Endpoint, earlier.endpoint.Endpoint):
 			return errMayBeExecuted
+		case a.startedAt >= earlier.startedAt+class.DeduplicationWindow:
+			return errRetriedTooLate
 		case g.now+stall.MaxStall >= earlier.startedAt+class.DeduplicationWindow:
 			return errDeduplicationWindow
 		}
@@ -129,7 +132,7 @@
 	switch {
 	case errors.Is(reason, errTooManyAttempts), errors.Is(reason, errParallelAttempt):
 		return invariantStart, true
-	case errors.Is(reason, errMayBeExecuted):
+	case errors.Is(reason, errMayBeExecuted), errors.Is(reason, errRetriedTooLate):
 		return invariantRetry, true
 	}
 	return 0, false
