listener: requests behind one that finds no memory are answered

Cause: a command for which there is no memory was taken for lost framing, so that the connection was closed and what stood behind the command was read and dropped. The framing is known all the while.

Change: the buffer drops the largest value of such a command as it is read and keeps the rest. The request is rejected with its retry advice, an invalid one gets its error, and those behind it are served. Works because the end of the command is found by the length that stands in front of the value, which needs no memory.

TestRequestsBehindOneWithoutMemoryAreAnswered: both cases failed before.

--- a/internal/listener/commands.go
+++ b/internal/listener/commands.go
@@ -70,8 +70,14 @@
 	return string(name) == commandAsk || string(name) == commandDo
 }
 
+// Reasons for which the listener rejects a request, in log records.
+const (
+	reasonNotAccepting = "the connection is closing, has too many open commands, or its client may have disconnected"
+	reasonNoMemory     = "there is no memory for the command"
+)
+
 // handleRequest passes a request to the handler, or rejects it. It reports whether the client is still connected. Reading never
-// stops for lack of capacity, because a disconnect is detected only by reading.
+// stops for lack of capacity, because a disconnect is detected only by reading, and requests may stand behind this one.
 func (c *conn) handleRequest(args [][]byte) (connected bool) {
 	request, err := c.server.cfg.parseRequest(args, c.reader.arrivedAt)
 	if err != nil {
@@ -80,9 +86,8 @@
 	c.requestRead.Store(true)
 	observer := c.server.cfg.Observer
 	observer.RequestRead()
-	if c.reader.rejectsRequests || c.reader.mayBeDisconnected || c.hasUnwrittenCommands(MaxPipelined) {
-		observer.RequestRejected(request,
-			"the connection is closing, has too many open commands, or its client may have disconnected")
+	if reason := c.rejectionReason(); reason != "" {
+		observer.RequestRejected(request, reason)
 		c.answerCommand(c.server.cfg.RejectionReply)
 		return true
 	}
@@ -96,6 +101,17 @@
 	return true
 }
 
+// rejectionReason returns the reason to reject the request that was read last, or an empty string if there is none.
+func (c *conn) rejectionReason() string {
+	switch {
+	case c.reader.buffer.IsElided():
+		return reasonNoMemory
+	case c.reader.rejectsRequests || c.reader.mayBeDisconnected || c.hasUnwrittenCommands(MaxPipelined):
+		return reasonNotAccepting
+	}
+	return ""
+}
+
 // answerFlood answers the command that exceeds maxUnwrittenCommands and starts closing the connection.
 func (c *conn) answerFlood() {
 	c.observeFault(FaultFlood, floodText, c.faults.Add(1))
--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -41,7 +41,7 @@
 	c := &conn{server: s, socket: socket, endRequested: make(chan struct{}), wake: make(chan struct{}, 1),
 		writerDone: make(chan struct{}), lastActivity: now}
 	c.reader.openedAt = now
-	c.reader.buffer.Budget = s.commandMemory
+	c.reader.buffer.Budget, c.reader.buffer.ElidesValues = s.commandMemory, true
 	return c
 }
 
--- a/internal/listener/reader_test.go
+++ b/internal/listener/reader_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -119,3 +120,48 @@
 		t.Fatalf("got %d requests and %d disconnects after the admitted commands, want none", n, disconnects)
 	}
 }
+
+// Requests behind one that found no memory were read and thrown away without an answer. Each is answered in its place now, the one
+// without memory is rejected, and the connection stays open.
+func TestRequestsBehindOneWithoutMemoryAreAnswered(t *testing.T) {
+	const behind = 4
+	long := nettest.Command("Q.DO", "00000000b4d65521", "00000000000000ff", nettest.WriteFields, strings.Repeat("x", 60<<10))
+	invalid := nettest.Command("Q.DO", "00000000b4d65521", "00000000000000fe", "c=unknown", strings.Repeat("x", 60<<10))
+	for name, test := range map[string]struct {
+		command, want string
+		wantFaults    int64
+	}{
+		"valid":   {long, "-BUSY\r\n", 0},
+		"invalid": {invalid, "-ERR unknown class\r\n", 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			serverEnd, clientEnd := nettest.ConnPair(t)
+			s, rec := newServer(nil, 1, resp.InitialBufferSize)
+			done := serve(newConn(s, serverEnd))
+			stop := make(chan struct{})
+			var answering sync.WaitGroup
+			answering.Go(func() { answerRequests(rec, stop) })
+			text := nettest.Ask(1, nettest.ReadFields) + test.command
+			want := string(valueReply) + test.want
+			for i := range behind {
+				text += nettest.Ask(2+i, nettest.ReadFields)
+				want += string(valueReply)
+			}
+			go io.WriteString(clientEnd, text) // ends when all is read, or with the connection
+			got := make([]byte, len(want))
+			if n, err := io.ReadFull(clientEnd, got); string(got[:n]) != want {
+				t.Errorf("got answers %q, error %v; want %q", got[:n], err, want)
+			}
+			if got := int64(s.cfg.Counters.Faults.Total()); got != test.wantFaults {
+				t.Errorf("got %d faults of the client, want %d", got, test.wantFaults)
+			}
+			if got := s.cfg.Counters.Closes.Total(); got != 0 {
+				t.Errorf("got %d ended connections, want the connection open", got)
+			}
+			clientEnd.Close()
+			nettest.Await(t, "the connection's end", done)
+			close(stop)
+			answering.Wait()
+		})
+	}
+}
--- a/internal/resp/buffer.go
+++ b/internal/resp/buffer.go
@@ -39,10 +39,16 @@
 // budget.
 type FrameBuffer struct {
 	Budget *MemoryBudget
-
-	data       []byte
-	start, end int // bounds of the input that Next has not returned
-	reserved   int // bytes reserved from the budget
+	// ElidesValues makes the buffer drop the largest value of an array, and keep the rest, if there is no memory for the whole
+	// frame. The frames behind it can then be read. IsElided tells such a frame from a complete one.
+	ElidesValues bool
+
+	data        []byte
+	start, end  int  // bounds of the input that Next has not returned
+	reserved    int  // bytes reserved from the budget
+	toDrop      int  // bytes of an elided value that have not been read
+	elidedBytes int  // bytes by which the frame that begins at start is shorter than the peer sent it
+	isElided    bool // the frame that Next returned last lacks a value
 }
 
 // Close returns the reserved memory to the budget.
@@ -56,15 +62,25 @@
 
 // Next returns the next complete frame, or nil if more input is needed. The frame is valid until the next call of Fill.
 func (buffer *FrameBuffer) Next() ([]byte, error) {
+	if buffer.toDrop > 0 {
+		return nil, nil
+	}
 	length, err := FrameLength(buffer.Buffered())
 	if length == 0 || err != nil {
 		return nil, err
 	}
+	if length+buffer.elidedBytes > MaxFrameLength {
+		return nil, ErrTooLong
+	}
 	frame := buffer.data[buffer.start : buffer.start+length]
 	buffer.start += length
+	buffer.isElided, buffer.elidedBytes = buffer.elidedBytes > 0, 0
 	return frame, nil
 }
 
+// IsElided reports whether the frame that Next returned last has an empty value in place of one for which there was no memory.
+func (buffer *FrameBuffer) IsElided() bool { return buffer.isElided }
+
 // Discard drops the input that Next has not returned.
 func (buffer *FrameBuffer) Discard() { buffer.start = buffer.end }
 
@@ -76,17 +92,20 @@
 func (buffer *FrameBuffer) HasPartialFrame() bool { return buffer.end > buffer.start }
 
 // Fill calls read once and appends its input to the buffer, which grows to the size of one frame at most. It returns
-// ErrTooLong or ErrNoMemory if the buffer cannot grow, and the error of read if that returned no input.
+// ErrTooLong or ErrNoMemory if the buffer cannot grow, ErrMalformed if an elided value has no end, and the error of read if that
+// returned no input.
 func (buffer *FrameBuffer) Fill(read func([]byte) (int, error)) error {
 	buffer.compact()
 	if err := buffer.makeRoom(); err != nil {
 		return err
 	}
 	n, err := read(buffer.data[buffer.end:])
-	buffer.end += n
-	if n > 0 {
-		return nil
+	if n <= 0 {
+		return err
 	}
+	input := buffer.data[buffer.end : buffer.end+n]
+	dropped, err := buffer.dropValue(input)
+	buffer.end += copy(input, input[dropped:])
 	return err
 }
 
@@ -109,11 +128,14 @@
 		return nil
 	}
 	const limit = MaxFrameLength + MaxLineLength
-	if buffer.end >= limit {
+	if buffer.end+buffer.elidedBytes >= limit {
 		return ErrTooLong
 	}
 	growth := min(len(buffer.data), limit-buffer.end)
 	if !buffer.Budget.Reserve(growth) {
+		if buffer.ElidesValues && buffer.elide() {
+			return nil
+		}
 		return ErrNoMemory
 	}
 	buffer.reserved += growth
