policy: a test that everything kept for a request or customer leaves

The scenarios of the golden test, with their failing endpoints and counter, early disconnects and settled units, played until no more requests arrive: every customer and request is forgotten within the time for which an exceeded ceiling is owed. With the count of a customer's open requests not taken down, it fails in all nine scenarios. The golden run is made in one place now; its hashes are unchanged.

--- a/policy/golden_test.go
+++ b/policy/golden_test.go
@@ -154,6 +154,13 @@
 	attemptCounts map[RequestID]int
 	endedAttempts map[string]bool // attempts whose end has been reported, by request and number
 	answered      map[RequestID]bool
+	hasEnded      bool // no more requests arrive
+}
+
+func newGoldenRun(t *testing.T, scenario goldenScenario, seed uint64, actionHash hash.Hash, actionCounts map[string]int) *goldenRun {
+	return &goldenRun{goldenScenario: scenario, t: t, rng: rand.New(rand.NewPCG(seed, 22)), actionHash: actionHash,
+		now: time.Hour, counterTotals: map[string]float64{}, attemptCounts: map[RequestID]int{},
+		actionCounts: actionCounts, endedAttempts: map[string]bool{}, answered: map[RequestID]bool{}}
 }
 
 func (run *goldenRun) schedule(delay time.Duration, gateway int, event Event, callback func()) {
@@ -184,7 +191,12 @@
 		run.schedule(run.exponentialDuration(run.meanRequestInterval), i, nil, func() { run.scheduleRequest(i, settings) })
 		run.schedule(run.exponentialDuration(run.meanChangeInterval), i, nil, func() { run.changeEndpoints(i) })
 	}
-	for len(run.queue) > 0 && run.queue[0].dueAt < time.Hour+goldenLength {
+	run.playUntil(time.Hour + goldenLength)
+}
+
+// playUntil plays the events that are due before a time.
+func (run *goldenRun) playUntil(end time.Duration) {
+	for len(run.queue) > 0 && run.queue[0].dueAt < end {
 		event := heap.Pop(&run.queue).(goldenEvent)
 		run.now = event.dueAt
 		if event.callback != nil {
@@ -199,6 +211,9 @@
 
 // scheduleRequest schedules a random request of gateway i for now, and the next call of itself.
 func (run *goldenRun) scheduleRequest(i int, settings Settings) {
+	if run.hasEnded {
+		return
+	}
 	class := settings.Classes[run.rng.IntN(len(settings.Classes))]
 	plan := settings.Plans[run.rng.IntN(len(settings.Plans))]
 	run.lastID++
@@ -372,10 +387,7 @@
 		t.Run(scenario.name, func(t *testing.T) {
 			actionHash, actionCounts := sha256.New(), map[string]int{}
 			for seed := range uint64(goldenSeeds) {
-				run := &goldenRun{goldenScenario: scenario, t: t, rng: rand.New(rand.NewPCG(seed, 22)), actionHash: actionHash,
-					now: time.Hour, counterTotals: map[string]float64{}, attemptCounts: map[RequestID]int{},
-					actionCounts: actionCounts, endedAttempts: map[string]bool{}, answered: map[RequestID]bool{}}
-				run.simulate()
+				newGoldenRun(t, scenario, seed, actionHash, actionCounts).simulate()
 			}
 			t.Log("actions:", actionCounts)
 			if got := hex.EncodeToString(actionHash.Sum(nil)); got != goldenHashes[scenario.name] {
@@ -384,3 +396,33 @@
 		})
 	}
 }
+
+// A customer that a request, a call or a permit still seems to refer to would be kept for good. Whatever the events, all customers
+// are forgotten once no more requests arrive, and so are all requests.
+func TestNothingIsKeptOnceNoMoreRequestsArrive(t *testing.T) {
+	const (
+		// A customer asks for about 300 units in goldenLength, and with 60 gateways a gateway's share of a ceiling refills by half a
+		// unit a second. So an exceeded ceiling is owed for 10 min at most, the longest of all.
+		length = 12 * time.Minute
+		seed   = 3
+	)
+	for _, scenario := range goldenScenarios() {
+		t.Run(scenario.name, func(t *testing.T) {
+			t.Parallel()
+			run := newGoldenRun(t, scenario, seed, sha256.New(), map[string]int{})
+			run.simulate()
+			run.hasEnded = true
+			for _, g := range run.gateways {
+				if g.quota.CustomerCount() == 0 {
+					t.Fatal("got no customer while requests arrive, want some")
+				}
+			}
+			run.playUntil(run.now + length)
+			for i, g := range run.gateways {
+				if customers, requests := g.quota.CustomerCount(), len(g.requestsByID); customers > 0 || requests > 0 {
+					t.Errorf("gateway %d: got %d customers and %d requests at the end, want none", i, customers, requests)
+				}
+			}
+		})
+	}
+}
--- a/policy/quota/manager.go
+++ b/policy/quota/manager.go
@@ -109,6 +109,9 @@
 	HasCentralBucket bool    // the customer has a central token bucket
 }
 
+// CustomerCount returns the number of customers whose state is kept.
+func (m *Manager) CustomerCount() int { return len(m.customers) }
+
 // Customer returns the state of a customer, or the zero state if the customer is unknown.
 func (m *Manager) Customer(id string) CustomerState {
 	c := m.customers[id]
