--- a/policy/attempts.go
+++ b/policy/attempts.go
@@ -40,9 +40,9 @@
 	return slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.Endpoint == endpoint })
 }
 
-// mayRetry reports whether another attempt is safe and within the limits now. A tenth of the deduplication
+// mayAttempt reports whether another attempt is safe and within the limits now. A tenth of the deduplication
 // window is kept as a margin for the transmission to the endpoint.
-func (g *Gateway) mayRetry(r *request) bool {
+func (g *Gateway) mayAttempt(r *request) bool {
 	if len(r.attempts) >= g.settings.MaxAttempts || r.streaming || r.finished {
 		return false
 	}
@@ -163,7 +163,7 @@
 		g.quota.Settle(&r.charge, ev.SettledUnits)
 		g.finish(r)
 	case r.attemptsInFlight > 0:
-	case !g.mayRetry(r) || r.Deadline-g.now < r.class.latency.Expected(0)+2*g.tickInterval:
+	case !g.mayAttempt(r) || r.Deadline-g.now < r.class.latency.Expected(0)+2*g.tickInterval:
 		g.rejectOrFail(r)
 	case ev.Outcome == NotSent: // the attempt put no load on an endpoint, so a retry needs no budget
 		g.enqueue(r)
--- a/policy/dispatch.go
+++ b/policy/dispatch.go
@@ -43,7 +43,7 @@
 // allowed when a request was queued may not be allowed any more.
 func (g *Gateway) checkStart(r *request) startVerdict {
 	switch {
-	case !g.mayRetry(r):
+	case !g.mayAttempt(r):
 		return startNever
 	case g.now >= r.Deadline || !g.quota.MayDispatch(&r.charge):
 		return startLater
--- a/policy/gateway.go
+++ b/policy/gateway.go
@@ -191,7 +191,7 @@
 	g.markOverdueAttempts(r)
 	g.hedgeIfOverdue(r)
 	if r.queued || !r.dispatched && !r.finished {
-		g.expireIfLate(r)
+		g.expireIfUnanswerable(r)
 	}
 	if !r.finished || r.attemptsInFlight > 0 {
 		return false
--- a/policy/request.go
+++ b/policy/request.go
@@ -62,7 +62,7 @@
 	g.requestsByArrival = append(g.requestsByArrival, r)
 	g.applyQuotaDecision(r, g.quota.Admit(&r.charge))
 	if !r.dispatched && !r.finished {
-		g.expireIfLate(r) // its deadline may pass before the next tick
+		g.expireIfUnanswerable(r) // its deadline may pass before the next tick
 	}
 }
 
@@ -78,13 +78,13 @@
 	}
 }
 
-// expireIfLate ends a waiting request if no further attempt may start, or if by the latency estimate of its
-// class it can no longer be answered by its deadline. A queued request that would miss only its latency
-// objective is queued again at the priority of a late answer, or ended if a late answer has no value.
-func (g *Gateway) expireIfLate(r *request) {
+// expireIfUnanswerable ends a waiting request if no further attempt may start, or if by the latency estimate
+// of its class it can no longer be answered by its deadline. A queued request that would miss only its
+// latency objective is queued again at the priority of a late answer, or ended if a late answer has no value.
+func (g *Gateway) expireIfUnanswerable(r *request) {
 	expected := min(r.class.latency.Expected(answerDeviations), r.class.LatencyObjective)
 	isTooLate := g.now+min(expected, r.class.latency.Expected(0)) >= r.Deadline-2*g.tickInterval
-	if isTooLate || !g.mayRetry(r) {
+	if isTooLate || !g.mayAttempt(r) {
 		g.rejectOrFail(r)
 		return
 	}
