--- a/policy/goldenrun_test.go
+++ b/policy/goldenrun_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"hash"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -52,7 +53,8 @@
 	attemptCounts map[RequestID]int
 	endedAttempts map[string]bool // attempts whose end has been reported, by request and number
 	answered      map[RequestID]bool
-	hasEnded      bool // no more requests arrive
+	hasEnded      bool              // no more requests arrive
+	observe       func(message any) // receives each event and each action, unless nil
 }
 
 func newGoldenRun(t *testing.T, scenario goldenScenario, seed uint64, actionHash hash.Hash, actionCounts map[string]int) *goldenRun {
@@ -101,12 +103,26 @@
 			event.callback()
 			continue
 		}
+		run.report(event.event)
 		for _, a := range run.gateways[event.gateway].Handle(run.now, event.event, nil) {
+			run.report(a)
 			run.handleAction(event.gateway, a)
 		}
 	}
 }
 
+func (run *goldenRun) report(message any) {
+	if run.observe != nil {
+		run.observe(message)
+	}
+}
+
+// endpointByID returns the endpoint with an id.
+func (run *goldenRun) endpointByID(id EndpointID) Endpoint {
+	i := slices.IndexFunc(run.endpoints, func(e Endpoint) bool { return e.ID == id })
+	return run.endpoints[i]
+}
+
 // scheduleRequest schedules a random request of gateway i for now, and the next call of itself.
 func (run *goldenRun) scheduleRequest(i int, settings Settings) {
 	if run.hasEnded {
