--- a/policy/quota/doc.go
+++ b/policy/quota/doc.go
@@ -47,4 +47,11 @@
 //
 // A ceiling is a rate that may never be exceeded. It is enforced by the grants of the counter or, without
 // them, by a token bucket with this gateway's share of the ceiling.
+//
+// # Eviction
+//
+// The state of a customer is kept until nothing refers to it and a new state would grant no more: its names
+// on the counter have expired, its bucket is full and its ceiling not exceeded. If the state of all
+// customers takes more than Config.CustomerMemory, idle customers leave earlier, those first that lack
+// least.
 package quota
--- a/policy/quota/eviction.go
+++ b/policy/quota/eviction.go
@@ -57,8 +57,8 @@
 	m.customerOrder = m.customerOrder[:last]
 }
 
-// isEvictable reports whether a customer would start again with the same state: nothing refers to it, its
-// names on the counter have expired, its bucket is full and its ceiling not exceeded.
+// isEvictable reports whether nothing refers to the customer, and a new state of it would grant no more than
+// this one: its names on the counter have expired, its bucket is full and its ceiling not exceeded.
 func (m *Manager) isEvictable(c *customer) bool {
 	idle := m.host.Now() - c.lastRequestAt
 	return idle > maxCounterNameTTL && !c.isInUse() && idle.Seconds() >= c.refillSeconds() &&
