quota: units that an answer settled beyond the lease refill before a customer leaves

Found by reading the change of the eviction again: a lease below 0 counted as 0, so that a customer could be forgotten before what its answers had settled beyond its share was refilled, and would be granted it once more. TestCustomerIsKeptUntilSettledUnitsHaveRefilled: failed before, the customer was forgotten within 95 s of the 100 s that it owed.

--- a/policy/quota/eviction.go
+++ b/policy/quota/eviction.go
@@ -73,7 +73,8 @@
 }
 
 // refillSeconds returns the time without requests, in seconds, after which the rate has refilled the
-// customer's bucket: the central one from empty, or this gateway's share from the units left in the lease.
+// customer's bucket: the central one from empty, or this gateway's share from the units left in the lease,
+// below 0 where an answer has settled more.
 func (c *customer) refillSeconds() float64 {
 	switch {
 	case c.plan.Rate <= 0:
@@ -81,7 +82,7 @@
 	case c.hasCentralBucket:
 		return c.plan.Burst / c.plan.Rate
 	}
-	return max(0, c.burstShare()-max(0, c.lease.tokens)) / c.rateShare()
+	return max(0, c.burstShare()-c.lease.tokens) / c.rateShare()
 }
 
 // makeRoomForCustomer evicts a customer if as many are kept as the memory allows: of the next few that are
--- a/policy/quota/eviction_test.go
+++ b/policy/quota/eviction_test.go
@@ -212,6 +212,24 @@
 	}
 }
 
+// Units that an answer has settled beyond those of the lease have to refill as well before the customer may be forgotten.
+func TestCustomerIsKeptUntilSettledUnitsHaveRefilled(t *testing.T) {
+	plan := model.Plan{Name: "p", Price: 1, Rate: 1, Burst: 60, SettledByAnswer: true}
+	config := testConfig()
+	config.HasSharedCounter = false
+	load := &onceLoad{testGateway: newTestGateway(t, config, []model.Plan{plan}), plan: evictionPlan{plan, 2}}
+	load.arriveFrom("c", 1)
+	load.completeRequest(1, 50) // of a share of 30
+	load.advance(95 * time.Second)
+	if load.manager.CustomerCount() != 1 {
+		t.Fatal("got the customer forgotten 95 s after it has used 50 units, of which its share refills one in 2 s; want it kept")
+	}
+	load.advance(10 * time.Second)
+	if load.manager.CustomerCount() != 0 {
+		t.Fatal("got the customer kept after its units have refilled, want it forgotten")
+	}
+}
+
 // The limit on attempts holds for a customer whose request has waited for longer than an idle customer is kept.
 func TestCustomerWithAWaitingRequestIsNotForgotten(t *testing.T) {
 	plan := evictionPlan{model.Plan{Name: "p", Price: 1, MaxConcurrency: 1}, 1}
