listener: a malformed command without memory has its error

Found by reading the change for commands without memory again: an elided value without a line end made Fill fail, also where input is read ahead to see whether the client has gone, which took the failure for the client's end: the connection was reset without an error, and its open requests would have been abandoned. Now Next returns ErrMalformed, in the order of the commands, as for any other malformed input.

--- a/internal/listener/reader_test.go
+++ b/internal/listener/reader_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -165,3 +166,27 @@
 		})
 	}
 }
+
+// A client whose long command finds no memory and turns out to be malformed was taken for gone where its input was read ahead, and
+// its requests would have been abandoned. It has its error.
+func TestMalformedCommandWithoutMemoryHasItsError(t *testing.T) {
+	const length = 60_000
+	serverEnd, clientEnd := nettest.ConnPair(t)
+	s, rec := newServer(nil, 1, resp.InitialBufferSize)
+	header := "*5\r\n$4\r\nQ.DO\r\n$" + strconv.Itoa(length) + "\r\n"
+	first := header + strings.Repeat("x", 2*resp.InitialBufferSize)
+	rest := strings.Repeat("x", length) // without the line end of the value
+	io.WriteString(clientEnd, first)
+	nettest.AwaitDelivery(t, clientEnd) // so that it is read ahead
+	done := serve(newConn(s, serverEnd))
+	go io.WriteString(clientEnd, rest) // ends when all is read, or with the connection
+	want := "-ERR " + resp.ErrMalformed.Error() + "\r\n"
+	if got, err := io.ReadAll(clientEnd); string(got) != want || err != nil {
+		t.Errorf("got answers %q, error %v; want %q and the end", got, err, want)
+	}
+	clientEnd.Close()
+	nettest.Await(t, "the connection's end", done)
+	if len(rec.received) > 0 {
+		t.Error("got a request, want none")
+	}
+}
--- a/internal/resp/buffer.go
+++ b/internal/resp/buffer.go
@@ -49,6 +49,7 @@
 	toDrop      int  // bytes of an elided value that have not been read
 	elidedBytes int  // bytes by which the frame that begins at start is shorter than the peer sent it
 	isElided    bool // the frame that Next returned last lacks a value
+	isMalformed bool // an elided value had no line end
 }
 
 // Close returns the reserved memory to the budget.
@@ -62,7 +63,10 @@
 
 // Next returns the next complete frame, or nil if more input is needed. The frame is valid until the next call of Fill.
 func (buffer *FrameBuffer) Next() ([]byte, error) {
-	if buffer.toDrop > 0 {
+	switch {
+	case buffer.isMalformed:
+		return nil, ErrMalformed
+	case buffer.toDrop > 0:
 		return nil, nil
 	}
 	length, err := FrameLength(buffer.Buffered())
@@ -92,8 +96,7 @@
 func (buffer *FrameBuffer) HasPartialFrame() bool { return buffer.end > buffer.start }
 
 // Fill calls read once and appends its input to the buffer, which grows to the size of one frame at most. It returns
-// ErrTooLong or ErrNoMemory if the buffer cannot grow, ErrMalformed if an elided value has no end, and the error of read if that
-// returned no input.
+// ErrTooLong or ErrNoMemory if the buffer cannot grow, and the error of read if that returned no input.
 func (buffer *FrameBuffer) Fill(read func([]byte) (int, error)) error {
 	buffer.compact()
 	if err := buffer.makeRoom(); err != nil {
@@ -104,9 +107,8 @@
 		return err
 	}
 	input := buffer.data[buffer.end : buffer.end+n]
-	dropped, err := buffer.dropValue(input)
-	buffer.end += copy(input, input[dropped:])
-	return err
+	buffer.end += copy(input, input[buffer.dropValue(input):])
+	return nil
 }
 
 // compact moves the input that Next has not returned to the start of the buffer.
--- a/internal/resp/elide.go
+++ b/internal/resp/elide.go
@@ -91,16 +91,16 @@
 	return true
 }
 
-// dropValue drops the rest of an elided value from the start of the input that was read last, and returns its length there. It
-// returns ErrMalformed if the value has no line end.
-func (buffer *FrameBuffer) dropValue(input []byte) (dropped int, err error) {
-	dropped = min(len(input), buffer.toDrop)
+// dropValue returns how many bytes of the input that was read last belong to an elided value. If the value does not end with a
+// line end, Next returns ErrMalformed from then on.
+func (buffer *FrameBuffer) dropValue(input []byte) int {
+	dropped := min(len(input), buffer.toDrop)
 	for i := range lineEnd {
 		position := buffer.toDrop - len(lineEnd) + i
 		if position >= 0 && position < dropped && input[position] != lineEnd[i] {
-			return 0, ErrMalformed
+			buffer.isMalformed = true
 		}
 	}
 	buffer.toDrop -= dropped
-	return dropped, nil
+	return dropped
 }
