quota: rates of every size give windows and waits that can be computed

Callers would see: a plan with a ceiling and a central bucket whose rate refills its burst within a nanosecond ends the process at its first request. Cause: the window's length, burst / rate, is rounded to zero and divides the time. With rates of nearly zero, times overflowed, to another value on each architecture. Found by reading; evidence: TestExtremeRatesOfAPlanWithACeilingAreServed ended with an integer divide by zero before, TestSecondsAreBounded failed.

Change: such a window is a tick long at least, and seconds returns 1e9 s at most, which takes the place of the limit of a ceiling's debt.

--- a/policy/quota/bucket.go
+++ b/policy/quota/bucket.go
@@ -32,7 +32,7 @@
 	c.unreportedUnits = 0
 	c.bucket.windowLength = counterWindowLength
 	if c.hasCeiling() {
-		c.bucket.windowLength = seconds(c.plan.Burst / c.plan.Rate)
+		c.bucket.windowLength = max(seconds(c.plan.Burst/c.plan.Rate), m.config.TickInterval)
 	}
 	c.bucket.initialTokens = m.rng.Float64() * max(1, m.config.MaxUnits)
 	if !m.config.HasSharedCounter {
--- a/policy/quota/ceiling.go
+++ b/policy/quota/ceiling.go
@@ -2,10 +2,6 @@
 
 import "time"
 
-// maxCeilingDebt limits the time for which a plan remembers an exceeded ceiling. With a rate of nearly zero
-// it would exceed the range of a Duration.
-const maxCeilingDebt = 24 * time.Hour
-
 // ceilingBucket is this gateway's share of the token bucket of a customer's ceiling. It starts empty, since
 // the usage before a restart is unknown.
 type ceilingBucket struct {
@@ -52,6 +48,6 @@
 	if debt <= 0 {
 		return
 	}
-	remaining := min(debt*float64(c.gatewaySpan)/c.plan.CeilingRate, maxCeilingDebt.Seconds())
-	c.plan.ceilingDebtUntil = max(c.plan.ceilingDebtUntil, m.host.Now()+seconds(remaining))
+	until := m.host.Now() + seconds(debt*float64(c.gatewaySpan)/c.plan.CeilingRate)
+	c.plan.ceilingDebtUntil = max(c.plan.ceilingDebtUntil, until)
 }
--- a/policy/quota/decision.go
+++ b/policy/quota/decision.go
@@ -2,8 +2,13 @@
 
 import "time"
 
-// minRefillRate is the lowest rate used to compute the wait for a refill, in units per second.
-const minRefillRate = 0.01
+const (
+	// minRefillRate is the lowest rate used to compute the wait for a refill, in units per second.
+	minRefillRate = 0.01
+	// maxSeconds is the longest time that is computed from a rate, in seconds, about 30 years. Sums with it
+	// are within the range of a Duration.
+	maxSeconds = 1e9
+)
 
 // Verdict is the result of a decision on a request.
 type Verdict uint8
@@ -73,7 +78,8 @@
 	return seconds(missing / max(c.plan.Rate, minRefillRate))
 }
 
-// seconds converts a number of seconds to a Duration.
+// seconds converts a number of seconds to a Duration, maxSeconds at most: a conversion beyond the range of a
+// Duration has another result on each architecture.
 func seconds(count float64) time.Duration {
-	return time.Duration(count * float64(time.Second))
+	return time.Duration(min(count, maxSeconds) * float64(time.Second))
 }
