--- a/internal/architecture/arithmetic_test.go
+++ b/internal/architecture/arithmetic_test.go
@@ -5,7 +5,6 @@
 	"go/parser"
 	"go/token"
 	"io/fs"
-	"path"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -33,7 +32,7 @@
 		case spec.Name != nil:
 			return spec.Name.Name
 		default:
-			return path.Base(imported)
+			return mathImport
 		}
 	}
 	return ""
--- a/internal/listener/reader_test.go
+++ b/internal/listener/reader_test.go
@@ -126,8 +126,8 @@
 // without memory is rejected, and the connection stays open.
 func TestRequestsBehindOneWithoutMemoryAreAnswered(t *testing.T) {
 	const behind = 4
-	long := nettest.Command("Q.DO", "00000000b4d65521", "00000000000000ff", nettest.WriteFields, strings.Repeat("x", 60<<10))
-	invalid := nettest.Command("Q.DO", "00000000b4d65521", "00000000000000fe", "c=unknown", strings.Repeat("x", 60<<10))
+	long := nettest.DoWithBody(0xff, nettest.WriteFields, strings.Repeat("x", 60<<10))
+	invalid := nettest.DoWithBody(0xfe, "c=unknown", strings.Repeat("x", 60<<10))
 	for name, test := range map[string]struct {
 		command, want string
 		wantFaults    int64
--- a/internal/listener/shortage_test.go
+++ b/internal/listener/shortage_test.go
@@ -61,7 +61,7 @@
 	switch client.rng.IntN(4) {
 	case 0:
 		body := strings.Repeat("x", client.rng.IntN(resp.MaxValueLength))
-		return nettest.Command(commandDo, "00000000b4d65521", fmt.Sprintf("%016x", id), nettest.WriteFields, body)
+		return nettest.DoWithBody(id, nettest.WriteFields, body)
 	case 1:
 		return nettest.Do(id, nettest.WriteFields)
 	}
@@ -100,8 +100,7 @@
 	for range stopped {
 		client := connect()
 		sockets = append(sockets, client)
-		whole := nettest.Command(commandDo, "00000000b4d65521", "00000000000000ff", nettest.WriteFields,
-			strings.Repeat("x", resp.MaxValueLength))
+		whole := nettest.DoWithBody(0xff, nettest.WriteFields, strings.Repeat("x", resp.MaxValueLength))
 		io.WriteString(client, whole[:len(whole)*2/3])
 	}
 	nettest.Eventually(t, "the stopped clients hold the memory for a long command", func() bool {
--- a/internal/nettest/client.go
+++ b/internal/nettest/client.go
@@ -54,6 +54,11 @@
 	return Command("Q.DO", customer, fmt.Sprintf("%016x", id), fields)
 }
 
+// DoWithBody encodes a Q.DO command with a request id and a body.
+func DoWithBody(id int, fields, body string) string {
+	return Command("Q.DO", customer, fmt.Sprintf("%016x", id), fields, body)
+}
+
 // ReadLine reads one line of a reply and returns it without the line end. An incomplete line fails the test.
 func ReadLine(t testing.TB, in *bufio.Reader) string {
 	t.Helper()
--- a/policy/quota/eviction_test.go
+++ b/policy/quota/eviction_test.go
@@ -70,11 +70,7 @@
 
 // arriveFrom submits a request of one unit of a customer and reports whether it was sent at once.
 func (load *onceLoad) arriveFrom(customer string, id model.RequestID) (sent bool) {
-	open := &openRequest{id: id, deadline: load.now + requestTimeout, charge: load.manager.NewCharge(Request{ID: id,
-		PriorityWeight: 1, Customer: customer, Plan: load.plan.Name, Units: 1, GatewaySpan: load.plan.gatewaySpan})}
-	load.requests[id] = open
-	load.resolve(open, load.manager.Admit(&open.charge))
-	latest := load.takeEffects()
+	latest := load.submit(Request{ID: id, Customer: customer, Plan: load.plan.Name, Units: 1, GatewaySpan: load.plan.gatewaySpan})
 	load.start(latest)
 	return slices.Contains(latest.sent, id)
 }
@@ -230,14 +226,11 @@
 	}
 }
 
-// The limit on attempts holds for a customer whose request has waited for longer than an idle customer is kept.
-func TestCustomerWithAWaitingRequestIsNotForgotten(t *testing.T) {
-	plan := evictionPlan{model.Plan{Name: "p", Price: 1, MaxConcurrency: 1}, 1}
-	for name, customerMemory := range map[string]int{"idle for long": 0, "beyond the memory": customerBytes} {
+// The limit on attempts holds for a customer whose attempt has been in flight for longer than an idle customer is kept.
+func TestCustomerWithAnAttemptInFlightIsNotForgotten(t *testing.T) {
+	for name, customerMemory := range evictionPressures() {
 		t.Run(name, func(t *testing.T) {
-			config := testConfig()
-			config.GatewayCount, config.HasSharedCounter, config.CustomerMemory = 1, false, customerMemory
-			load := &onceLoad{testGateway: newTestGateway(t, config, []model.Plan{plan.Plan}), plan: plan}
+			load := newSingleAttemptLoad(t, customerMemory)
 			if !load.arriveFrom("c", 1) || load.arriveFrom("c", 2) {
 				t.Fatal("got the first request not sent, or the second one beside it, want only the first one")
 			}
@@ -256,6 +249,40 @@
 	}
 }
 
+// The limit on attempts holds for a customer whose request has waited in the queue for as long, with no attempt in flight.
+func TestCustomerWithAWaitingRequestIsNotForgotten(t *testing.T) {
+	for name, customerMemory := range evictionPressures() {
+		t.Run(name, func(t *testing.T) {
+			load := newSingleAttemptLoad(t, customerMemory)
+			load.dispatchPaused = true
+			load.arriveFrom("c", 1)
+			load.requests[1].deadline = load.now + time.Hour
+			load.advance(2 * maxCounterNameTTL)
+			load.arriveFrom("other", 2) // needs room
+			load.arriveFrom("c", 3)
+			load.dispatchPaused = false
+			sent := load.takeEffects().sent
+			if want := []model.RequestID{1, 2}; !slices.Equal(sent, want) {
+				t.Fatalf("got requests %v sent at once, want %v: one of each customer", sent, want)
+			}
+		})
+	}
+}
+
+// evictionPressures returns the memory for customers with which one would be forgotten after some time, or for another one.
+func evictionPressures() map[string]int {
+	return map[string]int{"idle for long": 0, "beyond the memory": customerBytes}
+}
+
+// newSingleAttemptLoad returns a load whose customers may have one attempt in flight.
+func newSingleAttemptLoad(t *testing.T, customerMemory int) *onceLoad {
+	t.Helper()
+	plan := evictionPlan{model.Plan{Name: "p", Price: 1, MaxConcurrency: 1}, 1}
+	config := testConfig()
+	config.GatewayCount, config.HasSharedCounter, config.CustomerMemory = 1, false, customerMemory
+	return &onceLoad{testGateway: newTestGateway(t, config, []model.Plan{plan.Plan}), plan: plan}
+}
+
 // A ceiling that is exceeded stays so if its customer is forgotten early: no new customer of the plan is sent within that time.
 func TestCeilingDebtOutlivesAnEarlyEviction(t *testing.T) {
 	plan := evictionPlan{model.Plan{Name: "p", Price: 1, CeilingRate: 1, CeilingBurst: 10}, 1}
@@ -272,10 +299,10 @@
 	}
 	load.disconnect(1)
 	load.arriveFrom("c", 2)
+	load.requests[2].deadline = load.now + time.Minute
 	if sent := load.advance(4 * time.Second).sent; len(sent) > 0 {
 		t.Fatalf("got %v sent within the 4 s of debt that are left, want none", sent)
 	}
-	load.requests[2].deadline = load.now + time.Minute
 	if sent := load.advance(1500 * ms).sent; len(sent) != 1 {
 		t.Fatalf("got %v sent once a unit has refilled, want the waiting one", sent)
 	}
--- a/policy/quota/harness_test.go
+++ b/policy/quota/harness_test.go
@@ -87,6 +87,11 @@
 // arrive submits a request of customer "c".
 func (g *testGateway) arrive(request Request) effects {
 	request.Customer = "c"
+	return g.submit(request)
+}
+
+// submit submits a request of its customer.
+func (g *testGateway) submit(request Request) effects {
 	request.PriorityWeight = 1
 	open := &openRequest{id: request.ID, deadline: g.now + requestTimeout, charge: g.manager.NewCharge(request)}
 	g.requests[request.ID] = open
